--- /dev/null
+++ b/packages/bundle/src/index.ts
@@ -0,0 +1,1 @@
+export * from './version/index.js';
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,4 @@
+export * as membership from './process/membership/index.js';
+export * as node from './process/node/index.js';
+export * as request from './request/index.js';
+export * as time from './process/time/index.js';
--- /dev/null
+++ b/packages/core/src/process/membership/index.ts
@@ -0,0 +1,3 @@
+export * from './listByRendezvous.js';
+export * from './Membership.js';
+export * from './VmRecord.js';
--- /dev/null
+++ b/packages/core/src/process/node/index.ts
@@ -0,0 +1,2 @@
+export type * from './NodeCommand.js';
+export type * from './NodeMessage.js';
--- /dev/null
+++ b/packages/core/src/process/time/index.ts
@@ -0,0 +1,2 @@
+export type { Clock } from './Clock.js';
+export type { RandomSource } from './RandomSource.js';
--- /dev/null
+++ b/packages/core/src/request/index.ts
@@ -0,0 +1,2 @@
+export * from './CallContext.js';
+export * from './refusals.js';
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,1 @@
+export * from './generated/link_pb.js';
