--- /dev/null
+++ b/packages/core/src/process/admission/FairQueue.ts
@@ -0,0 +1,191 @@
+import type { AdmissionItem } from './AdmissionItem.js';
+
+interface Line {
+  readonly workspace: string;
+  weight: number;
+  items: AdmissionItem[];
+  queuedCost: number;
+  /** Virtual time at which the first waiting item may start. */
+  startTag: number;
+}
+
+/** Workspaces without waiting items whose tags are kept, so that a short pause earns no credit. */
+const IDLE_LINES = 1024;
+
+/**
+ * Weighted fair queue over workspaces (start-time fair queueing): a workspace that is served runs up virtual time by
+ * cost / weight, and the workspace with the least virtual time goes first.
+ */
+export class FairQueue {
+  readonly #lines = new Map<string, Line>();
+
+  #virtualTime = 0;
+
+  #size = 0;
+
+  /** Number of waiting items. */
+  get size(): number {
+    return this.#size;
+  }
+
+  /**
+   * Adds an item at the end of the line of its workspace.
+   * @param item - Item to add.
+   */
+  add(item: AdmissionItem): void {
+    const line = this.#resolveLine(item);
+    if (line.items.length === 0) {
+      line.startTag = Math.max(line.startTag, this.#virtualTime);
+    }
+    line.weight = item.weight;
+    line.items.push(item);
+    line.queuedCost += item.cost;
+    this.#size += 1;
+  }
+
+  /** Finds the item that `take` would return. */
+  findNext(): AdmissionItem | undefined {
+    return this.#findNextLine()?.items[0];
+  }
+
+  /** Takes the next item in fair order. */
+  take(): AdmissionItem | undefined {
+    const line = this.#findNextLine();
+    const item = line?.items.shift();
+    if (line === undefined || item === undefined) {
+      return undefined;
+    }
+    this.#virtualTime = line.startTag;
+    line.startTag += item.cost / line.weight;
+    line.queuedCost -= item.cost;
+    this.#size -= 1;
+    return item;
+  }
+
+  /** Drops the youngest item of the workspace whose waiting cost is furthest over its weight. */
+  dropOverShare(): AdmissionItem | undefined {
+    const line = this.#findLargestLine();
+    const item = line?.items.pop();
+    if (line === undefined || item === undefined) {
+      return undefined;
+    }
+    line.queuedCost -= item.cost;
+    this.#size -= 1;
+    return item;
+  }
+
+  /**
+   * Removes the items that match.
+   * @param predicate - True for an item to be removed.
+   * @returns The removed items.
+   */
+  removeWhere(predicate: (item: AdmissionItem) => boolean): readonly AdmissionItem[] {
+    const removed: AdmissionItem[] = [];
+    this.#lines.forEach((line) => {
+      const matching = line.items.filter(predicate);
+      if (matching.length === 0) {
+        return;
+      }
+      const gone = new Set(matching);
+      replaceItems(
+        line,
+        line.items.filter((item) => !gone.has(item)),
+      );
+      removed.push(...matching);
+    });
+    this.#size -= removed.length;
+    return removed;
+  }
+
+  /**
+   * Computes the cost that would be served before a new item.
+   * @param item - The new item.
+   */
+  computeCostAhead(item: AdmissionItem): number {
+    const own = this.#lines.get(item.workspace)?.queuedCost ?? 0;
+    const turns = (own + item.cost) / item.weight;
+    return [...this.#lines.values()]
+      .filter((line) => line.workspace !== item.workspace)
+      .reduce((sum, line) => sum + Math.min(line.queuedCost, turns * line.weight), own);
+  }
+
+  /** Computes the whole waiting cost. */
+  computeCost(): number {
+    return [...this.#lines.values()].reduce((sum, line) => sum + line.queuedCost, 0);
+  }
+
+  /**
+   * Shows the longest lines.
+   * @param limit - Number of workspaces shown.
+   */
+  snapshot(limit: number): object {
+    const waiting = [...this.#lines.values()].filter((line) => line.items.length > 0);
+    waiting.sort((left, right) => right.queuedCost - left.queuedCost);
+    return {
+      size: this.#size,
+      workspaces: waiting.slice(0, limit).map((line) => ({
+        workspace: line.workspace,
+        queued: line.items.length,
+        cost: line.queuedCost,
+      })),
+    };
+  }
+
+  #resolveLine(item: AdmissionItem): Line {
+    const known = this.#lines.get(item.workspace);
+    if (known !== undefined) {
+      return known;
+    }
+    this.#dropIdleLines();
+    const line: Line = {
+      workspace: item.workspace,
+      weight: item.weight,
+      items: [],
+      queuedCost: 0,
+      startTag: this.#virtualTime,
+    };
+    this.#lines.set(item.workspace, line);
+    return line;
+  }
+
+  #dropIdleLines(): void {
+    if (this.#lines.size < IDLE_LINES) {
+      return;
+    }
+    [...this.#lines.values()]
+      .filter((line) => line.items.length === 0)
+      .forEach((line) => this.#lines.delete(line.workspace));
+  }
+
+  #findNextLine(): Line | undefined {
+    let next: Line | undefined;
+    this.#lines.forEach((line) => {
+      if (line.items.length > 0 && (next === undefined || line.startTag < next.startTag)) {
+        next = line;
+      }
+    });
+    return next;
+  }
+
+  #findLargestLine(): Line | undefined {
+    let largest: Line | undefined;
+    this.#lines.forEach((line) => {
+      if (line.items.length > 0 && (largest === undefined || isFurtherOver(line, largest))) {
+        largest = line;
+      }
+    });
+    return largest;
+  }
+}
+
+function isFurtherOver(line: Line, other: Line): boolean {
+  const difference = line.queuedCost / line.weight - other.queuedCost / other.weight;
+  return difference === 0 ? line.startTag > other.startTag : difference > 0;
+}
+
+function replaceItems(line: Line, items: AdmissionItem[]): void {
+  Object.assign(line, {
+    items,
+    queuedCost: items.reduce((sum, item) => sum + item.cost, 0),
+  });
+}
--- /dev/null
+++ b/packages/core/src/process/pressure/index.ts
@@ -0,0 +1,1 @@
+export * from './PressureTable.js';
--- /dev/null
+++ b/packages/core/src/process/routing/index.ts
@@ -0,0 +1,3 @@
+export * from './RetryRatio.js';
+export * from './Router.js';
+export type * from './RoutingOutcome.js';
--- /dev/null
+++ b/packages/core/src/process/suspects/index.ts
@@ -0,0 +1,1 @@
+export * from './SuspectTable.js';
