--- a/packages/core/src/process/membership/Membership.ts
+++ b/packages/core/src/process/membership/Membership.ts
@@ -72,6 +72,15 @@
     this.#candidates.clear();
   }
 
+  /**
+   * Records that a VM that announced its leaving takes work again, after a restart of its backend server.
+   * @param vm - Name of the peer.
+   */
+  clearLeaving(vm: string): void {
+    this.#leaving.delete(vm);
+    this.#candidates.clear();
+  }
+
   /**
    * Finds a VM of the list.
    * @param vm - Name of the VM.
