Read, check, sign and verify bundles, and match routes

Bundles arrive from operators and from peers, so every input is bounded and every fault is a typed error with file, section, key and line. The ini library merges duplicate keys and splits section names at dots; the files are therefore split into sections first, and the library reads the keys of each section. Overlapping paths are refused instead of ranked, because two servers that rank differently would authorize and run different routes. Targets with dot segments, encoded separators or double encodings are refused for the same reason. findTargetFault names the fault; matchRoute returns undefined for it.

The route table is kept beside the bundle, so that Bundle stays plain data.

--- a/packages/bundle/src/index.ts
+++ b/packages/bundle/src/index.ts
@@ -1,1 +1,2 @@
+export * from './request/index.js';
 export * from './version/index.js';
--- /dev/null
+++ b/packages/bundle/src/request/index.ts
@@ -0,0 +1,3 @@
+export * from './callerKey.js';
+export * from './findTargetFault.js';
+export * from './matchRoute.js';
--- /dev/null
+++ b/packages/bundle/src/version/envelope/signBundle.ts
@@ -0,0 +1,50 @@
+import * as crypto from 'node:crypto';
+import { Result } from 'true-myth';
+import type { BundleError } from '../BundleError.js';
+import { buildBundle } from '../sections/buildBundle.js';
+import { SECTION_FILES, type SectionTexts } from '../sections/SectionFile.js';
+import { manifestSchema } from './Manifest.js';
+import { formatEnvelope, parseEnvelope } from './parseEnvelope.js';
+import { parsePrivateKey } from './signingKeys.js';
+
+export interface SignOptions {
+  /** Version of the bundle; must be greater than the version in force. */
+  readonly version: number;
+  readonly signedAt: Date;
+  /** Private key in PEM (PKCS #8). */
+  readonly privateKey: string;
+}
+
+/**
+ * Checks the sections and signs them.
+ * @param texts - Content of the four files.
+ * @param options - Version, date and key.
+ * @returns The envelope in JSON, or the reason why no node would accept it.
+ */
+export function signBundle(texts: SectionTexts, options: SignOptions): Result<string, BundleError> {
+  const manifest = manifestSchema.safeParse({
+    version: options.version,
+    signedAt: options.signedAt.toISOString(),
+    sections: Object.fromEntries(SECTION_FILES.map((file) => [file, digestText(texts[file])])),
+  });
+  if (!manifest.success) {
+    const expected = 'a version from 1 to 4294967295';
+    return Result.err({ kind: 'manifestMalformed', expected });
+  }
+  const text = JSON.stringify(manifest.data);
+  return parsePrivateKey(options.privateKey).andThen((key) =>
+    buildBundle(options.version, digestText(text), texts).andThen(() => {
+      const signature = crypto.sign(null, Buffer.from(text), key).toString('base64');
+      const envelope = formatEnvelope({ manifest: text, signature, sections: { ...texts } });
+      return parseEnvelope(envelope).map(() => envelope);
+    }),
+  );
+}
+
+/**
+ * Computes the SHA-256 of a text in lower-case hexadecimal.
+ * @param text - Section or manifest.
+ */
+export function digestText(text: string | Uint8Array): string {
+  return crypto.createHash('sha256').update(text).digest('hex');
+}
--- /dev/null
+++ b/packages/bundle/src/version/sections/buildBundle.ts
@@ -0,0 +1,67 @@
+import { Result } from 'true-myth';
+import { prepareTable } from '../../request/matchRoute.js';
+import type { Bundle } from '../Bundle.js';
+import { MAX_PROBLEMS, type BundleError } from '../BundleError.js';
+import { checkSections } from './checkSections.js';
+import { readSections } from './readSections.js';
+import { FLEET_KIND, ROUTE_KIND, SERVICE_KIND, WORKSPACE_KIND } from './sectionKinds.js';
+import type { SectionTexts } from './SectionFile.js';
+
+/**
+ * Builds a bundle from the text of its section files and checks it completely.
+ * @param version - Version of the manifest.
+ * @param digest - SHA-256 of the manifest, in lower-case hexadecimal.
+ * @param texts - Content of the four files.
+ * @returns The bundle, or `sectionsInvalid` with the faults found.
+ */
+export function buildBundle(
+  version: number,
+  digest: string,
+  texts: SectionTexts,
+): Result<Bundle, BundleError> {
+  const fleet = readSections('fleet.ini', texts['fleet.ini'], FLEET_KIND, () => ({}));
+  const workspaces = readSections(
+    'workspaces.ini',
+    texts['workspaces.ini'],
+    WORKSPACE_KIND,
+    (name) => ({ name }),
+  );
+  const services = readSections('services.ini', texts['services.ini'], SERVICE_KIND, (name) => ({
+    name,
+  }));
+  const routes = readSections('routes.ini', texts['routes.ini'], ROUTE_KIND, (name) => ({
+    name,
+    service: name.split('.')[0],
+  }));
+  const files = [fleet, workspaces, services, routes];
+  const problems = files.flatMap((file) => file.problems);
+  const read = {
+    fleet: fleet.sections,
+    workspaces: workspaces.sections,
+    services: services.sections,
+    routes: routes.sections,
+  };
+  // Cross checks on incomplete files would only report faults that follow from the first ones.
+  const all = problems.length > 0 ? problems : checkSections(read);
+  const first = fleet.sections[0];
+  if (all.length > 0 || first === undefined) {
+    return Result.err({ kind: 'sectionsInvalid', problems: all.slice(0, MAX_PROBLEMS) });
+  }
+  const open = workspaces.sections.find(({ value }) => value.open);
+  const bundle: Bundle = {
+    version,
+    digest,
+    fleet: first.value,
+    workspaces: new Map(workspaces.sections.map(({ value }) => [value.name, value])),
+    workspaceByKeyDigest: new Map(
+      workspaces.sections.flatMap(({ value }) =>
+        value.keyDigests.map((keyDigest): [string, string] => [keyDigest, value.name]),
+      ),
+    ),
+    openWorkspace: open?.value.name,
+    services: new Map(services.sections.map(({ value }) => [value.name, value])),
+    routes: new Map(routes.sections.map(({ value }) => [value.name, value])),
+  };
+  prepareTable(bundle);
+  return Result.ok(bundle);
+}
--- /dev/null
+++ b/packages/bundle/src/version/sections/checkSections.ts
@@ -0,0 +1,95 @@
+import type { BundleProblem } from '../BundleError.js';
+import type { Fleet } from '../fleetSchema.js';
+import type { Route } from '../routeSchema.js';
+import type { Service } from '../serviceSchema.js';
+import type { Workspace } from '../workspaceSchema.js';
+import { checkCalls } from './checkCalls.js';
+import { checkPaths } from './checkPaths.js';
+import type { ReadSection } from './readSections.js';
+
+/** Sections that are valid by themselves. */
+export interface ReadSections {
+  readonly fleet: readonly ReadSection<Fleet>[];
+  readonly workspaces: readonly ReadSection<Workspace>[];
+  readonly services: readonly ReadSection<Service>[];
+  readonly routes: readonly ReadSection<Route>[];
+}
+
+/**
+ * Checks what involves more than one section.
+ * @param read - Sections of all files.
+ * @returns The faults, none for a sound bundle.
+ */
+export function checkSections(read: ReadSections): readonly BundleProblem[] {
+  const [fleet] = read.fleet;
+  if (fleet === undefined) {
+    return [{ file: 'fleet.ini', section: 'fleet', expected: 'the section [fleet]' }];
+  }
+  return [
+    ...checkDeadlines(fleet),
+    ...checkDigests(read.workspaces),
+    ...checkOpen(read),
+    ...checkServices(read),
+    ...checkPaths(read.routes),
+    ...checkCalls(read.routes, fleet.value.maxDepth),
+  ];
+}
+
+function checkDeadlines(fleet: ReadSection<Fleet>): readonly BundleProblem[] {
+  if (fleet.value.defaultDeadlineMs <= fleet.value.maxDeadlineMs) {
+    return [];
+  }
+  const expected = 'a duration of at most max-deadline';
+  return [
+    { file: 'fleet.ini', section: 'fleet', key: 'default-deadline', line: fleet.line, expected },
+  ];
+}
+
+function checkDigests(workspaces: readonly ReadSection<Workspace>[]): readonly BundleProblem[] {
+  const owners = new Map<string, string>();
+  return workspaces.flatMap(({ value, header, line }) =>
+    value.keyDigests.flatMap((digest): readonly BundleProblem[] => {
+      const owner = owners.get(digest);
+      owners.set(digest, value.name);
+      if (owner === undefined) {
+        return [];
+      }
+      const expected = `each key digest only once; ${digest.slice(0, 8)}... is also in workspace ${owner}`;
+      return [{ file: 'workspaces.ini', section: header, key: 'key-digests', line, expected }];
+    }),
+  );
+}
+
+function checkOpen(read: ReadSections): readonly BundleProblem[] {
+  const open = read.workspaces.filter(({ value }) => value.open);
+  if (open.length === 0) {
+    return read.routes
+      .filter(({ value }) => value.open)
+      .map(({ header, line }) => ({
+        file: 'routes.ini',
+        section: header,
+        key: 'open',
+        line,
+        expected: 'a workspace with open = yes that open routes count for',
+      }));
+  }
+  return open.slice(1).map(({ header, line }) => ({
+    file: 'workspaces.ini',
+    section: header,
+    key: 'open',
+    line,
+    expected: 'at most one workspace with open = yes',
+  }));
+}
+
+function checkServices(read: ReadSections): readonly BundleProblem[] {
+  const known = new Set(read.services.map(({ value }) => value.name));
+  return read.routes
+    .filter(({ value }) => !known.has(value.service))
+    .map(({ header, line }) => ({
+      file: 'routes.ini',
+      section: header,
+      line,
+      expected: 'a service of services.ini before the dot',
+    }));
+}
--- /dev/null
+++ b/packages/bundle/src/version/sections/index.ts
@@ -0,0 +1,2 @@
+export * from './buildBundle.js';
+export * from './SectionFile.js';
--- /dev/null
+++ b/packages/bundle/src/version/sections/readSections.ts
@@ -0,0 +1,125 @@
+import type { BundleProblem } from '../BundleError.js';
+import { scanSections, type ScannedSection } from './scanSections.js';
+import type { SectionFile } from './SectionFile.js';
+import type { SectionKind } from './sectionKinds.js';
+
+/** A section that is valid by itself. */
+export interface ReadSection<T> {
+  readonly value: T;
+  readonly header: string;
+  readonly line: number;
+}
+
+export interface ReadFile<T> {
+  readonly sections: readonly ReadSection<T>[];
+  readonly problems: readonly BundleProblem[];
+}
+
+/**
+ * Reads every section of a file and checks each against the schema of its kind.
+ * @param file - Name of the file, for problems.
+ * @param text - Content of the file.
+ * @param kind - What the file may contain.
+ * @param extend - Adds fields that follow from the name of the section.
+ */
+export function readSections<T>(
+  file: SectionFile,
+  text: string,
+  kind: SectionKind<T>,
+  extend: (name: string) => object,
+): ReadFile<T> {
+  const scanned = scanSections(file, text);
+  const problems = [...scanned.problems];
+  const sections = scanned.sections.flatMap((section) => {
+    const found = readSection(section, kind, extend);
+    if ('value' in found) {
+      return [{ value: found.value, header: section.header, line: section.line }];
+    }
+    problems.push(...found.problems.map((problem) => ({ file, ...problem })));
+    return [];
+  });
+  return { sections, problems };
+}
+
+type SectionProblem = Omit<BundleProblem, 'file'>;
+
+function readSection<T>(
+  section: ScannedSection,
+  kind: SectionKind<T>,
+  extend: (name: string) => object,
+): { value: T } | { problems: readonly SectionProblem[] } {
+  const { header, line } = section;
+  const [word, name, ...rest] = header.split(' ');
+  const named =
+    kind.namePattern === undefined ? name === undefined : kind.namePattern.test(name ?? '');
+  if (word !== kind.word || !named || rest.length > 0) {
+    return {
+      problems: [{ section: header, line, expected: kind.nameExpected ?? `[${kind.word}]` }],
+    };
+  }
+  const { fields, problems } = parseKeys(section, kind);
+  if (problems.length > 0) {
+    return { problems };
+  }
+  const checked = kind.schema.safeParse({ ...extend(name ?? ''), ...fields });
+  if (checked.success) {
+    return { value: checked.data };
+  }
+  return {
+    problems: checked.error.issues.map((issue) => {
+      const key = findKey(kind, issue.path[0]);
+      const value = key === undefined ? undefined : section.values.get(key);
+      return {
+        section: header,
+        ...(key === undefined ? {} : { key }),
+        line: value?.line ?? line,
+        expected: describeIssue(issue.message),
+      };
+    }),
+  };
+}
+
+function parseKeys<T>(
+  section: ScannedSection,
+  kind: SectionKind<T>,
+): { fields: Record<string, unknown>; problems: SectionProblem[] } {
+  const problems: SectionProblem[] = [];
+  const fields: Record<string, unknown> = {};
+  [...section.values]
+    .filter(([key]) => !Object.hasOwn(kind.keys, key))
+    .forEach(([key, { line }]) => {
+      const expected = `one of the keys ${Object.keys(kind.keys).join(', ')}`;
+      problems.push({ section: section.header, key, line, expected });
+    });
+  Object.entries(kind.keys).forEach(([key, rule]) => {
+    const value = section.values.get(key);
+    if (value === undefined && 'fallback' in rule) {
+      fields[rule.field] = rule.fallback;
+      return;
+    }
+    if (value === undefined) {
+      const expected = 'the key, which is required';
+      problems.push({ section: section.header, key, line: section.line, expected });
+      return;
+    }
+    rule.parse(value.text).match({
+      Ok: (parsed) => {
+        fields[rule.field] = parsed;
+      },
+      Err: (expected) => {
+        problems.push({ section: section.header, key, line: value.line, expected });
+      },
+    });
+  });
+  return { fields, problems };
+}
+
+function findKey<T>(kind: SectionKind<T>, field: PropertyKey | undefined): string | undefined {
+  return Object.entries(kind.keys).find(([, rule]) => rule.field === field)?.[0];
+}
+
+/** Zod says "Too big: expected number to be <=20"; only what follows "expected" is kept. */
+function describeIssue(message: string): string {
+  const position = message.indexOf('expected ');
+  return position < 0 ? message : message.slice(position + 'expected '.length);
+}
--- /dev/null
+++ b/packages/bundle/src/version/sections/sectionKinds.ts
@@ -0,0 +1,96 @@
+import type * as z from 'zod';
+import { fleetSchema } from '../fleetSchema.js';
+import { routeSchema } from '../routeSchema.js';
+import { serviceSchema } from '../serviceSchema.js';
+import { workspaceSchema } from '../workspaceSchema.js';
+import {
+  parseDuration,
+  parseList,
+  parseNumber,
+  parseSize,
+  parseSwitch,
+  parseText,
+  type ValueParser,
+} from './parseValue.js';
+
+/** One key of a section kind. */
+export interface KeyRule {
+  /** Field of the schema that the key fills. */
+  readonly field: string;
+  readonly parse: ValueParser;
+  /** Value when the key is absent; without one the key is required. */
+  readonly fallback?: unknown;
+}
+
+/** What a section file may contain. */
+export interface SectionKind<T> {
+  /** First word of the header. */
+  readonly word: string;
+  /** Second word of the header; absent when the section has no name. */
+  readonly namePattern?: RegExp;
+  readonly nameExpected?: string;
+  readonly keys: Readonly<Record<string, KeyRule>>;
+  readonly schema: z.ZodType<T>;
+}
+
+const KIBIBYTE = 1_024;
+const NAME_LETTERS = 'lower-case letters, digits and hyphens, beginning with a letter, at most 64';
+
+export const FLEET_KIND = {
+  word: 'fleet',
+  keys: {
+    'max-vms': { field: 'maxVms', parse: parseNumber },
+    'share-lease': { field: 'shareLeaseMs', parse: parseDuration, fallback: 3_000 },
+    'extra-attempts': { field: 'extraAttempts', parse: parseNumber, fallback: 3 },
+    'max-depth': { field: 'maxDepth', parse: parseNumber, fallback: 17 },
+    'ticket-life': { field: 'ticketLifeMs', parse: parseDuration, fallback: 300_000 },
+    'default-deadline': { field: 'defaultDeadlineMs', parse: parseDuration, fallback: 5_000 },
+    'max-deadline': { field: 'maxDeadlineMs', parse: parseDuration, fallback: 30_000 },
+    'poison-block': { field: 'poisonBlockMs', parse: parseDuration, fallback: 600_000 },
+  },
+  schema: fleetSchema,
+} as const satisfies SectionKind<z.infer<typeof fleetSchema>>;
+
+export const WORKSPACE_KIND = {
+  word: 'workspace',
+  namePattern: /^[a-z][a-z0-9-]{0,63}$/,
+  nameExpected: `[workspace NAME] with ${NAME_LETTERS}`,
+  keys: {
+    rate: { field: 'rate', parse: parseNumber },
+    burst: { field: 'burst', parse: parseNumber },
+    weight: { field: 'weight', parse: parseNumber, fallback: 1 },
+    'key-digests': { field: 'keyDigests', parse: parseList, fallback: [] },
+    open: { field: 'open', parse: parseSwitch, fallback: false },
+  },
+  schema: workspaceSchema,
+} as const satisfies SectionKind<z.infer<typeof workspaceSchema>>;
+
+export const SERVICE_KIND = {
+  word: 'service',
+  namePattern: /^[a-z][a-z0-9-]{0,63}$/,
+  nameExpected: `[service NAME] with ${NAME_LETTERS}`,
+  keys: {
+    slots: { field: 'slots', parse: parseNumber },
+    connections: { field: 'connections', parse: parseNumber },
+    queue: { field: 'queue', parse: parseNumber },
+  },
+  schema: serviceSchema,
+} as const satisfies SectionKind<z.infer<typeof serviceSchema>>;
+
+export const ROUTE_KIND = {
+  word: 'route',
+  namePattern: /^[a-z][a-z0-9-]{0,63}\.[a-z][a-z0-9-]{0,63}$/,
+  nameExpected: `[route SERVICE.NAME], each with ${NAME_LETTERS}`,
+  keys: {
+    method: { field: 'method', parse: parseText },
+    path: { field: 'path', parse: parseText },
+    priority: { field: 'priority', parse: parseNumber, fallback: 2 },
+    open: { field: 'open', parse: parseSwitch, fallback: false },
+    repeatable: { field: 'repeatable', parse: parseSwitch },
+    calls: { field: 'calls', parse: parseList, fallback: [] },
+    cost: { field: 'cost', parse: parseNumber, fallback: 1 },
+    'max-body': { field: 'maxBody', parse: parseSize, fallback: 64 * KIBIBYTE },
+    'max-answer': { field: 'maxAnswer', parse: parseSize, fallback: 1_024 * KIBIBYTE },
+  },
+  schema: routeSchema,
+} as const satisfies SectionKind<z.infer<typeof routeSchema>>;
--- /dev/null
+++ b/packages/bundle/test/version/envelope.test.ts
@@ -0,0 +1,72 @@
+import { expect } from 'chai';
+import {
+  generateSigningKeys,
+  MAX_ENVELOPE_BYTES,
+  signBundle,
+  verifyEnvelope,
+  type SigningKeys,
+} from '../../src/index.js';
+import { SAMPLE } from '../sampleSections.js';
+
+describe('verifyEnvelope', () => {
+  let keys: SigningKeys;
+  let envelope: string;
+
+  before(async () => {
+    keys = await generateSigningKeys();
+    envelope = sign(SAMPLE['workspaces.ini']);
+  });
+
+  it('guards against a signed bundle that no node accepts', () => {
+    const bundle = verifyEnvelope(envelope, [keys.publicKey]);
+    expect(bundle.map(({ version }) => version).unwrapOr(0)).to.equal(12);
+  });
+
+  it('guards against a bundle signed by an unknown key', async () => {
+    const other = await generateSigningKeys();
+    expectKind(envelope, 'signatureInvalid', [other.publicKey]);
+    expectKind(envelope, 'signatureInvalid', []);
+    expect(verifyEnvelope(envelope, [other.publicKey, keys.publicKey]).isOk).to.equal(true);
+  });
+
+  it('guards against a manifest or a section that changed after signing', () => {
+    expectKind(envelope.replace('\\"version\\":12', '\\"version\\":13'), 'signatureInvalid');
+    expectKind(envelope.replace('rate = 100', 'rate = 900'), 'sectionMismatch');
+  });
+
+  it('guards against a section of another bundle under a valid manifest', () => {
+    const other = JSON.parse(sign(SAMPLE['workspaces.ini'].replace('100', '900')));
+    const mixed = { ...JSON.parse(envelope), sections: other.sections };
+    expectKind(JSON.stringify(mixed), 'sectionMismatch');
+  });
+
+  it('guards against input that is not an envelope', () => {
+    ['', '{', 'null', '[]', '{"manifest":"{}"}', envelope.slice(0, -2)].forEach((text) =>
+      expectKind(text, 'envelopeMalformed'),
+    );
+    expectKind(envelope.replace('{', '{"extra":1,'), 'envelopeMalformed');
+    expectKind('x'.repeat(MAX_ENVELOPE_BYTES + 1), 'envelopeTooLarge');
+  });
+
+  it('guards against signing what no node would accept', () => {
+    const options = { version: 12, signedAt: new Date(0), privateKey: keys.privateKey };
+    const invalid = { ...SAMPLE, 'fleet.ini': '[fleet]\n' };
+    expect(signBundle(invalid, options).isErr).to.equal(true);
+    expect(signBundle(SAMPLE, { ...options, version: 0 }).isErr).to.equal(true);
+    expect(signBundle(SAMPLE, { ...options, privateKey: keys.publicKey }).isErr).to.equal(true);
+    const large = `${SAMPLE['fleet.ini']}; ${'x'.repeat(MAX_ENVELOPE_BYTES)}\n`;
+    const result = signBundle({ ...SAMPLE, 'fleet.ini': large }, options);
+    expect(result.isErr && result.error.kind).to.equal('envelopeTooLarge');
+  });
+
+  function sign(workspaces: string): string {
+    const options = { version: 12, signedAt: new Date(0), privateKey: keys.privateKey };
+    const texts = { ...SAMPLE, 'workspaces.ini': workspaces };
+    return signBundle(texts, options).unwrapOrElse(() => expect.fail('not signed'));
+  }
+
+  function expectKind(text: string, kind: string, trusted = [keys.publicKey]): void {
+    const result = verifyEnvelope(text, trusted);
+    expect(result.isErr && result.error.kind).to.equal(kind);
+  }
+});
