Add the share ledger

Owners lend whole shares to the holder of their failure domain; holders lend tokens with the capacity that covers them to spenders. Refill stays with the holder, so a sublease is never renewed or enlarged: it is spent, given back or over.

--- /dev/null
+++ b/packages/core/src/process/shares/RequestQueue.ts
@@ -0,0 +1,182 @@
+import type { Workspace } from '@tanagerpond/bundle';
+import type * as time from '../time/index.js';
+import type { ShareCommand } from './ShareCommand.js';
+import { ROUNDING } from './shareLimits.js';
+import type { TokenPool } from './TokenPool.js';
+import { WorkspaceDemand } from './WorkspaceDemand.js';
+
+const MIN_RETRY_MS = 100;
+
+const MAX_RETRY_MS = 10_000;
+
+/** Workspaces shown in a snapshot. */
+const SNAPSHOT_WORKSPACES = 64;
+
+/** Requests for tokens at this node, served first in, first out within a workspace. */
+export class RequestQueue {
+  readonly demands = new Map<string, WorkspaceDemand>();
+
+  readonly #pool: TokenPool;
+
+  readonly #random: time.RandomSource;
+
+  readonly #workspaceByRequest = new Map<string, string>();
+
+  /** Requests that can never be granted, to be denied on the next tick. */
+  readonly #hopeless = new Set<string>();
+
+  #workspaces: ReadonlyMap<string, Workspace> = new Map();
+
+  /**
+   * @param pool - Pool of the node, used besides borrowed tokens.
+   * @param random - Source of the jitter in the times to come back.
+   */
+  constructor(pool: TokenPool, random: time.RandomSource) {
+    this.#pool = pool;
+    this.#random = random;
+  }
+
+  /**
+   * Takes the workspaces of a bundle. Requests of a removed workspace are denied on the next tick.
+   * @param workspaces - Workspaces by name.
+   */
+  configure(workspaces: ReadonlyMap<string, Workspace>): void {
+    this.#workspaces = workspaces;
+    this.demands.forEach((demand, name) => {
+      const workspace = workspaces.get(name);
+      if (workspace !== undefined) {
+        demand.configure(workspace);
+        return;
+      }
+      [...demand.waiting.keys()].forEach((requestId) => this.#hopeless.add(requestId));
+      this.demands.delete(name);
+    });
+  }
+
+  /**
+   * Drops borrowed tokens whose lease is over.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  settle(nowMs: number): void {
+    this.demands.forEach((demand) => demand.settle(nowMs));
+  }
+
+  /**
+   * Grants a request at once or lets it wait.
+   * @param workspace - Name of the workspace.
+   * @param requestId - Id of the request.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  request(workspace: string, requestId: string, nowMs: number): 'granted' | 'waiting' {
+    const demand = this.#findDemand(workspace, nowMs);
+    if (demand === undefined) {
+      this.#hopeless.add(requestId);
+      return 'waiting';
+    }
+    demand.recordArrival();
+    if (demand.waiting.size === 0 && this.#tryConsume(demand, nowMs)) {
+      return 'granted';
+    }
+    demand.wait(requestId, nowMs);
+    this.#workspaceByRequest.set(requestId, workspace);
+    return 'waiting';
+  }
+
+  /**
+   * Forgets a request.
+   * @param requestId - Its id.
+   */
+  cancel(requestId: string): void {
+    const workspace = this.#workspaceByRequest.get(requestId) ?? '';
+    this.demands.get(workspace)?.waiting.delete(requestId);
+    this.#workspaceByRequest.delete(requestId);
+    this.#hopeless.delete(requestId);
+  }
+
+  /**
+   * Grants waiting requests as far as there are tokens, and denies those that waited too long.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  advance(nowMs: number): readonly ShareCommand[] {
+    const hopeless = [...this.#hopeless].map((requestId) => this.#deny(requestId));
+    const decided = [...this.demands].flatMap(([name, demand]) => {
+      demand.advance(nowMs);
+      const commands = [...this.drain(name, nowMs), ...this.#denyOverdue(demand, nowMs)];
+      if (demand.isIdle()) {
+        this.demands.delete(name);
+      }
+      return commands;
+    });
+    return [...hopeless, ...decided];
+  }
+
+  /**
+   * Grants waiting requests of one workspace as far as there are tokens.
+   * @param workspace - Name of the workspace.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  drain(workspace: string, nowMs: number): readonly ShareCommand[] {
+    const demand = this.demands.get(workspace);
+    const commands: ShareCommand[] = [];
+    [...(demand?.waiting.keys() ?? [])].every((requestId) => {
+      if (demand === undefined || !this.#tryConsume(demand, nowMs)) {
+        return false;
+      }
+      this.cancel(requestId);
+      commands.push({ kind: 'granted', requestId });
+      return true;
+    });
+    return commands;
+  }
+
+  /** Denies every waiting request. */
+  denyAll(): readonly ShareCommand[] {
+    const waiting = [...this.#workspaceByRequest.keys(), ...this.#hopeless];
+    return waiting.map((requestId) => this.#deny(requestId));
+  }
+
+  /** Forgets borrowed tokens and the estimates; waiting requests stay until they are denied. */
+  clear(): void {
+    this.demands.forEach((demand) => Object.assign(demand, { parts: [] }));
+  }
+
+  /** Shows the demand of at most 64 workspaces. */
+  snapshot(): object {
+    const shown = [...this.demands].slice(0, SNAPSHOT_WORKSPACES);
+    return Object.fromEntries(shown.map(([name, demand]) => [name, demand.snapshot()]));
+  }
+
+  #findDemand(name: string, nowMs: number): WorkspaceDemand | undefined {
+    const workspace = this.#workspaces.get(name);
+    const known = this.demands.get(name);
+    if (known !== undefined || workspace === undefined) {
+      return known;
+    }
+    const demand = new WorkspaceDemand(workspace, nowMs);
+    this.demands.set(name, demand);
+    return demand;
+  }
+
+  #tryConsume(demand: WorkspaceDemand, nowMs: number): boolean {
+    const { name } = demand.workspace;
+    const borrowed = demand.countTokens();
+    if (borrowed < 1 - ROUNDING && borrowed + this.#pool.readLevel(name, nowMs) < 1 - ROUNDING) {
+      return false;
+    }
+    this.#pool.consume(name, demand.consume(1));
+    return true;
+  }
+
+  #denyOverdue(demand: WorkspaceDemand, nowMs: number): readonly ShareCommand[] {
+    return [...demand.waiting]
+      .filter(([, deadlineMs]) => deadlineMs <= nowMs)
+      .map(([requestId]) => this.#deny(requestId, demand.workspace.rate));
+  }
+
+  #deny(requestId: string, rate = Number.POSITIVE_INFINITY): ShareCommand {
+    this.cancel(requestId);
+    const meanMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, 1_000 / rate));
+    const retryAfterMs = Math.round(meanMs * (1 + this.#random.next()));
+    return { kind: 'denied', requestId, retryAfterMs };
+  }
+}
--- /dev/null
+++ b/packages/core/src/process/shares/TokenAsks.ts
@@ -0,0 +1,118 @@
+/** A holder that has not answered after this time counts as silent. One tick fits into the wait of a request. */
+const ANSWER_MS = 45;
+
+/** A silent holder is asked again after this time. */
+const SILENCE_MS = 1_000;
+
+/** One request for tokens to one holder. */
+interface Ask {
+  readonly holder: string;
+  readonly sentMs: number;
+  /** Tokens expected, by workspace. */
+  readonly expected: ReadonlyMap<string, number>;
+  overdue: boolean;
+}
+
+/** Requests for tokens that are under way, and the holders that do not answer. */
+export class TokenAsks {
+  readonly #asks = new Map<string, Ask>();
+
+  readonly #expected = new Map<string, number>();
+
+  readonly #silentUntilMs = new Map<string, number>();
+
+  /**
+   * Records a request that is being sent.
+   * @param id - Id of the request.
+   * @param holder - VM that is asked.
+   * @param expected - Tokens expected, by workspace.
+   * @param sentMs - Time before sending, in milliseconds.
+   */
+  add(id: string, holder: string, expected: ReadonlyMap<string, number>, sentMs: number): void {
+    this.#asks.set(id, { holder, sentMs, expected, overdue: false });
+    expected.forEach((tokens, name) => this.#addExpected(name, tokens));
+  }
+
+  /**
+   * Takes the request that a grant answers.
+   * @param id - Id of the request.
+   * @param holder - VM that answers.
+   * @returns The time at which the request was sent, or undefined when no such request is under way.
+   */
+  take(id: string, holder: string): number | undefined {
+    const ask = this.#asks.get(id);
+    if (ask?.holder !== holder) {
+      return undefined;
+    }
+    this.#asks.delete(id);
+    this.#silentUntilMs.delete(holder);
+    this.#clearExpected(ask);
+    return ask.sentMs;
+  }
+
+  /**
+   * Marks holders that did not answer in time, and forgets requests whose grant would be useless.
+   * @param leaseMs - Lease time of tokens, in milliseconds.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  advance(leaseMs: number, nowMs: number): void {
+    this.#asks.forEach((ask, id) => {
+      if (!ask.overdue && nowMs - ask.sentMs >= ANSWER_MS) {
+        this.#clearExpected(ask);
+        Object.assign(ask, { overdue: true });
+        this.#silentUntilMs.set(ask.holder, nowMs + SILENCE_MS);
+      }
+      if (nowMs - ask.sentMs >= leaseMs) {
+        this.#asks.delete(id);
+      }
+    });
+    this.#silentUntilMs.forEach((untilMs, holder) => {
+      if (untilMs <= nowMs) {
+        this.#silentUntilMs.delete(holder);
+      }
+    });
+  }
+
+  /**
+   * Counts the tokens that requests under way are expected to bring.
+   * @param workspace - Name of the workspace.
+   */
+  countExpected(workspace: string): number {
+    return this.#expected.get(workspace) ?? 0;
+  }
+
+  /**
+   * Tells whether a holder did not answer lately.
+   * @param holder - Name of the VM.
+   */
+  isSilent(holder: string): boolean {
+    return this.#silentUntilMs.has(holder);
+  }
+
+  /** Counts the requests under way. */
+  count(): number {
+    return this.#asks.size;
+  }
+
+  /** Forgets every request. */
+  clear(): void {
+    this.#asks.clear();
+    this.#expected.clear();
+    this.#silentUntilMs.clear();
+  }
+
+  #clearExpected(ask: Ask): void {
+    if (!ask.overdue) {
+      ask.expected.forEach((tokens, name) => this.#addExpected(name, -tokens));
+    }
+  }
+
+  #addExpected(workspace: string, tokens: number): void {
+    const expected = this.countExpected(workspace) + tokens;
+    if (expected > 1e-6) {
+      this.#expected.set(workspace, expected);
+    } else {
+      this.#expected.delete(workspace);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/process/shares/index.ts
@@ -0,0 +1,4 @@
+export type { ShareCommand } from './ShareCommand.js';
+export type { ShareFrame } from './ShareFrame.js';
+export { ShareLedger } from './ShareLedger.js';
+export type { ShareLedgerOptions } from './ShareLedger.js';
--- /dev/null
+++ b/packages/core/test/process/shares/ShareLedger.test.ts
@@ -0,0 +1,67 @@
+import { expect } from 'chai';
+import * as membership from '../../../src/process/membership/index.js';
+import * as shares from '../../../src/process/shares/index.js';
+import { createBundle } from './createBundle.js';
+
+const LEASE_MS = 1_000;
+
+const READY_MS = 1_026;
+
+const TICK_MS = 50;
+
+describe('ShareLedger', () => {
+  it('guards against a restarted VM that uses its share while the lease of its predecessor runs', () => {
+    const ledger = createSingleLedger();
+    ledger.applyBundle(createSingleBundle(10), 0);
+    advanceTo(ledger, LEASE_MS);
+    expect(ledger.request('ferry', 'a', LEASE_MS)).to.equal('waiting');
+    advanceTo(ledger, READY_MS + 200, LEASE_MS);
+    expect(ledger.request('ferry', 'b', READY_MS + 200)).to.equal('granted');
+  });
+
+  it('guards against a VM alone that cannot use its own share', () => {
+    const ledger = createSingleLedger();
+    ledger.applyBundle(createSingleBundle(10), 0);
+    advanceTo(ledger, READY_MS + 1_800);
+    const granted = Array.from({ length: 30 }, (_, index) =>
+      ledger.request('ferry', `${index}`, READY_MS + 1_800),
+    ).filter((outcome) => outcome === 'granted');
+    expect(granted).to.have.length(10);
+  });
+
+  it('guards against requests of a workspace that the bundle does not have waiting for ever', () => {
+    const ledger = createSingleLedger();
+    ledger.applyBundle(createSingleBundle(10), 0);
+    expect(ledger.request('unknown', 'a', 10)).to.equal('waiting');
+    expect(ledger.advance(50).map((command) => command.kind)).to.deep.equal(['denied']);
+  });
+
+  it('guards against a burst that stays above the one of a new bundle', () => {
+    const ledger = createSingleLedger();
+    ledger.applyBundle(createSingleBundle(10), 0);
+    advanceTo(ledger, READY_MS + 1_800);
+    ledger.applyBundle(createSingleBundle(2), READY_MS + 1_800);
+    const outcomes = ['a', 'b', 'c'].map((id) => ledger.request('ferry', id, READY_MS + 1_800));
+    expect(outcomes).to.deep.equal(['granted', 'granted', 'waiting']);
+  });
+});
+
+function createSingleLedger(): shares.ShareLedger {
+  const self = { name: 'vm-1', service: 'desk', failureDomain: 'a', incarnation: '0123456789' };
+  return new shares.ShareLedger({
+    self,
+    membership: new membership.Membership(self),
+    random: { next: () => 0.5 },
+    startedMs: 0,
+  });
+}
+
+function advanceTo(ledger: shares.ShareLedger, toMs: number, fromMs = 0): void {
+  for (let nowMs = fromMs; nowMs <= toMs; nowMs += TICK_MS) {
+    ledger.advance(nowMs);
+  }
+}
+
+function createSingleBundle(burst: number): ReturnType<typeof createBundle> {
+  return createBundle([{ name: 'ferry', rate: 10, burst }], { maxVms: 1, shareLeaseMs: LEASE_MS });
+}
