--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,4 +5,5 @@
 export * as request from './request/index.js';
 export * as routing from './process/routing/index.js';
 export * as suspects from './process/suspects/index.js';
+export * as shares from './process/shares/index.js';
 export * as time from './process/time/index.js';
