Bound waiting, add preemption and levels to the admission queue

The queue now holds what is served in 100 ms (Little's law with the measured service time), refuses a call that would miss its deadline, displaces the lowest class for every call that waited 400 ms, and preempts at a bounded rate. LevelEstimate is not measured yet.

--- a/packages/core/src/process/admission/AdmissionQueue.ts
+++ b/packages/core/src/process/admission/AdmissionQueue.ts
@@ -10,43 +10,61 @@
   QueueLevel,
   QueueLoad,
 } from './AdmissionItem.js';
+import { ClassQueues } from './ClassQueues.js';
 import { ConcurrencyLimit } from './ConcurrencyLimit.js';
-import { FairQueue } from './FairQueue.js';
-
-interface Running {
-  readonly item: AdmissionItem;
-  readonly startedMs: number;
-}
+import { LevelEstimate } from './LevelEstimate.js';
+import { RunningCalls } from './RunningCalls.js';
+import { ServiceTime } from './ServiceTime.js';
+import { WaitEstimate } from './WaitEstimate.js';
 
 /** Queued calls wait this long for a backend server that is down. */
 const DOWN_GRACE_MS = 500;
 
-/** Smallest time after which a refused caller may come back. */
-const RETRY_AFTER_MS = 50;
+/** A call that has waited this long is refused or displaces less important work. */
+const LONGEST_WAIT_MS = 400;
+
+/** A call that has waited this long may preempt. */
+const PREEMPT_WAIT_MS = 20;
+
+/** Shortest and longest mean time after which a refused caller may come back. */
+const RETRY_AFTER_MS = [50, 5000] as const;
 
 /** Decides which call runs next on one backend server, and which is refused without running. */
 export class AdmissionQueue {
   readonly #random: RandomSource;
 
-  readonly #classes = [new FairQueue(), new FairQueue(), new FairQueue(), new FairQueue()];
+  readonly #classes = new ClassQueues();
 
-  readonly #running = new Map<string, Running>();
+  readonly #running = new RunningCalls();
+
+  readonly #serviceTime = new ServiceTime();
 
   readonly #limit: ConcurrencyLimit;
 
+  readonly #wait: WaitEstimate;
+
+  readonly #level = new LevelEstimate();
+
+  #slots: number;
+
   #capacity: number;
 
   #backend: BackendState = 'up';
 
   #backendSinceMs = 0;
 
-  #cancelledMs: number | undefined;
-
   /** @param options - Declared slots, calls that may wait, and the source of the jitter. */
   constructor(options: { slots: number; queue: number; random: RandomSource }) {
     this.#random = options.random;
+    this.#slots = options.slots;
     this.#capacity = options.queue;
     this.#limit = new ConcurrencyLimit({ slots: options.slots });
+    this.#wait = new WaitEstimate({
+      classes: this.#classes,
+      running: this.#running,
+      limit: this.#limit,
+      serviceTime: this.#serviceTime,
+    });
   }
 
   /**
@@ -54,6 +72,7 @@
    * @param limits - Declared slots and calls that may wait.
    */
   configure(limits: { slots: number; queue: number }): void {
+    this.#slots = limits.slots;
     this.#limit.configure(limits.slots);
     this.#capacity = limits.queue;
   }
@@ -65,10 +84,17 @@
    */
   offer(item: AdmissionItem, nowMs: number): readonly AdmissionDecision[] {
     if (this.#backend === 'draining') {
-      return [this.#refuse(item, 'leaving')];
+      return [this.#refuse(item, 'leaving', nowMs)];
+    }
+    if (this.#isDownForLong(nowMs)) {
+      return [this.#refuse(item, 'noBackend', nowMs)];
     }
-    this.#findClass(item).add(item);
-    return [...this.#dropExcess(), ...this.#dispatch(nowMs)];
+    this.#level.recordArrival(item, nowMs);
+    if (this.#wait.isHopeless(item, nowMs)) {
+      return [this.#refuse(item, 'deadlineExpired', nowMs)];
+    }
+    this.#classes.add(item);
+    return [...this.#dispatch(nowMs), ...this.#dropExcess(nowMs)];
   }
 
   /**
@@ -78,20 +104,17 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   finish(callId: string, end: AdmissionEnd, nowMs: number): readonly AdmissionDecision[] {
-    const run = this.#running.get(callId);
-    if (run === undefined) {
+    const inFlight = this.#running.size;
+    const call = this.#running.end(callId);
+    if (call === undefined) {
       return [];
     }
-    this.#limit.record(
-      {
-        end,
-        latencyMs: nowMs - run.startedMs,
-        inFlight: this.#running.size,
-        queued: this.#countQueued(),
-      },
-      nowMs,
-    );
-    this.#running.delete(callId);
+    const latencyMs = nowMs - call.startedMs;
+    this.#limit.record({ end, latencyMs, inFlight, queued: this.#classes.size }, nowMs);
+    if (end === 'answered') {
+      this.#serviceTime.record(call.item.cost, latencyMs, nowMs);
+      this.#level.recordServed(call.item.cost, nowMs);
+    }
     return this.#dispatch(nowMs);
   }
 
@@ -101,10 +124,10 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   cancel(callId: string, nowMs: number): CancelResult {
-    this.#cancelledMs = nowMs;
-    if (this.#running.has(callId)) {
+    if (this.#running.markEnding(callId)) {
       return 'running';
     }
+    this.#level.advance(nowMs, this.#wait.isCrowded(nowMs));
     return this.removeWhere((item) => item.callId === callId).length > 0 ? 'dequeued' : 'absent';
   }
 
@@ -113,11 +136,12 @@
    * @param predicate - True for a call to be removed.
    */
   removeWhere(predicate: (item: AdmissionItem) => boolean): readonly AdmissionItem[] {
-    return this.#classes.flatMap((queue) => queue.removeWhere(predicate));
+    return this.#classes.removeWhere(predicate);
   }
 
   /**
-   * Takes the state of the backend server. While it is down, queued calls wait for a short time.
+   * Takes the state of the backend server. While it is down, queued calls wait for a short time; after it comes back,
+   * the limit starts low.
    * @param state - New state.
    * @param nowMs - Monotonic time, in milliseconds.
    */
@@ -130,7 +154,7 @@
     }
     this.#backend = state;
     this.#backendSinceMs = nowMs;
-    return state === 'draining' ? this.#refuseQueued('leaving') : this.#dispatch(nowMs);
+    return state === 'draining' ? this.#refuseQueued('leaving', nowMs) : this.#dispatch(nowMs);
   }
 
   /**
@@ -138,14 +162,14 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   advance(nowMs: number): readonly AdmissionDecision[] {
-    if (this.#backend === 'down' && nowMs - this.#backendSinceMs >= DOWN_GRACE_MS) {
-      return this.#refuseQueued('noBackend');
+    if (this.#isDownForLong(nowMs)) {
+      return this.#refuseQueued('noBackend', nowMs);
     }
-    const expired = this.removeWhere((item) => item.deadlineMs <= nowMs);
-    return [
-      ...expired.map((item) => this.#refuse(item, 'deadlineExpired')),
-      ...this.#dispatch(nowMs),
-    ];
+    const late = this.removeWhere((item) => this.#wait.isLate(item, nowMs));
+    const refused = late.map((item) => this.#refuse(item, 'deadlineExpired', nowMs));
+    const decisions = [...refused, ...this.#dropOverdue(nowMs), ...this.#dispatch(nowMs)];
+    this.#level.advance(nowMs, this.#wait.isCrowded(nowMs));
+    return decisions;
   }
 
   /**
@@ -153,17 +177,15 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   readLevel(nowMs: number): QueueLevel {
-    const isUp = this.#backend === 'up' || nowMs - this.#backendSinceMs < DOWN_GRACE_MS;
-    const isFull = this.#countQueued() >= this.#capacity / 2;
-    const fraction = isUp && !isFull ? 1 : 0.5;
-    return { lowestClass: 3, fraction, workspaces: [] };
+    this.#level.advance(nowMs, this.#wait.isCrowded(nowMs));
+    return this.#level.read();
   }
 
   /** Reads the load that travels on answers. */
   readLoad(): QueueLoad {
     return {
       inFlight: this.#running.size,
-      queued: this.#countQueued(),
+      queued: this.#classes.size,
       limit: this.#limit.read(),
     };
   }
@@ -173,71 +195,100 @@
     return {
       backend: this.#backend,
       backendSinceMs: nowMs - this.#backendSinceMs,
-      cancelledForMs: this.#cancelledMs === undefined ? null : nowMs - this.#cancelledMs,
       load: this.readLoad(),
+      serviceTimeMs: this.#serviceTime.readMean(nowMs),
       level: this.readLevel(nowMs),
       limit: this.#limit.snapshot(),
-      classes: this.#classes.map((queue) => queue.snapshot(8)),
+      running: this.#running.snapshot(),
+      classes: this.#classes.snapshot(),
     };
   }
 
-  #findClass(item: AdmissionItem): FairQueue {
-    return this.#classes[Math.max(0, Math.min(this.#classes.length - 1, item.priority))];
+  #isDownForLong(nowMs: number): boolean {
+    return this.#backend === 'down' && nowMs - this.#backendSinceMs >= DOWN_GRACE_MS;
   }
 
-  #countQueued(): number {
-    return this.#classes.reduce((sum, queue) => sum + queue.size, 0);
+  #dropExcess(nowMs: number): readonly AdmissionDecision[] {
+    const excess = this.#classes.size - this.#wait.computeCapacity(this.#capacity, nowMs);
+    return this.#dropLowest(Math.max(0, excess), nowMs);
   }
 
-  #dropExcess(): readonly AdmissionDecision[] {
-    if (this.#countQueued() <= this.#capacity) {
+  /** For each call that has waited too long, one call of the lowest class is refused: the call itself or another. */
+  #dropOverdue(nowMs: number): readonly AdmissionDecision[] {
+    const isOverdue = (item: AdmissionItem): boolean => nowMs - item.arrivedMs > LONGEST_WAIT_MS;
+    if (this.#backend !== 'up') {
       return [];
     }
-    const dropped = [...this.#classes]
-      .reverse()
-      .find((queue) => queue.size > 0)
-      ?.dropOverShare();
-    return dropped === undefined ? [] : [this.#refuse(dropped, 'overloaded')];
+    const lowest = this.#classes.removeLowestWhere(isOverdue);
+    const others = this.#classes.countWhere(isOverdue);
+    const refused = lowest.map((item) => this.#refuse(item, 'overloaded', nowMs));
+    return [...refused, ...this.#dropLowest(others, nowMs)];
+  }
+
+  #dropLowest(count: number, nowMs: number): readonly AdmissionDecision[] {
+    return Array.from({ length: count }, () => this.#classes.dropLowest())
+      .filter((item) => item !== undefined)
+      .map((item) => this.#refuse(item, 'overloaded', nowMs));
   }
 
   #dispatch(nowMs: number): readonly AdmissionDecision[] {
     const decisions: AdmissionDecision[] = [];
-    let next = this.#findStartable();
-    while (next !== undefined) {
-      const item = this.#findClass(next).take();
-      decisions.push(this.#startOrRefuse(item ?? next, nowMs));
-      next = this.#findStartable();
+    while (this.#canStart()) {
+      const item = this.#classes.take();
+      if (item !== undefined) {
+        decisions.push(this.#startOrRefuse(item, nowMs));
+      }
     }
-    return decisions;
+    return [...decisions, ...this.#preempt(nowMs)];
   }
 
-  #findStartable(): AdmissionItem | undefined {
-    const runsAlone = [...this.#running.values()].some((run) => run.item.suspect);
-    if (this.#backend !== 'up' || runsAlone || this.#running.size >= this.#limit.read()) {
-      return undefined;
+  #canStart(): boolean {
+    const isFull = this.#running.size >= this.#limit.read();
+    if (this.#backend !== 'up' || isFull || this.#running.hasSuspect()) {
+      return false;
     }
-    const next = this.#classes.find((queue) => queue.size > 0)?.findNext();
-    return next?.suspect === true && this.#running.size > 0 ? undefined : next;
+    const next = this.#classes.findNext();
+    return next !== undefined && (!next.suspect || this.#running.size === 0);
   }
 
   #startOrRefuse(item: AdmissionItem, nowMs: number): AdmissionDecision {
-    if (item.deadlineMs <= nowMs) {
-      return this.#refuse(item, 'deadlineExpired');
+    if (this.#wait.isLate(item, nowMs)) {
+      return this.#refuse(item, 'deadlineExpired', nowMs);
     }
-    this.#running.set(item.callId, { item, startedMs: nowMs });
+    this.#running.begin(item, nowMs);
     return { kind: 'run', callId: item.callId };
   }
 
-  #refuseQueued(reason: RefusalReason): readonly AdmissionDecision[] {
-    return this.removeWhere(() => true).map((item) => this.#refuse(item, reason));
+  #preempt(nowMs: number): readonly AdmissionDecision[] {
+    const next = this.#classes.findNext();
+    if (next === undefined || this.#backend !== 'up' || this.#running.hasSuspect()) {
+      return [];
+    }
+    const isUrgent = nowMs - next.arrivedMs >= PREEMPT_WAIT_MS || this.#wait.isUrgent(next, nowMs);
+    const isPending = this.#running.countEnding() >= this.#classes.countClass(next.priority);
+    const victim =
+      isUrgent && !isPending
+        ? this.#running.selectVictim(next.priority, this.#slots, nowMs)
+        : undefined;
+    if (victim === undefined) {
+      return [];
+    }
+    victim.ending = true;
+    return [{ kind: 'preempt', callId: victim.item.callId }];
+  }
+
+  #refuseQueued(reason: RefusalReason, nowMs: number): readonly AdmissionDecision[] {
+    return this.removeWhere(() => true).map((item) => this.#refuse(item, reason, nowMs));
   }
 
-  #refuse(item: AdmissionItem, reason: RefusalReason): AdmissionDecision {
-    const retryAfterMs = Math.ceil(RETRY_AFTER_MS * (1 + this.#random.next()));
-    return {
-      kind: 'refuse',
-      callId: item.callId,
-      refusal: createRefusal(reason, { retryAfterMs }),
-    };
+  #refuse(item: AdmissionItem, reason: RefusalReason, nowMs: number): AdmissionDecision {
+    if (reason === 'overloaded' || reason === 'deadlineExpired') {
+      this.#level.recordRefusal(nowMs);
+    }
+    const [shortestMs, longestMs] = RETRY_AFTER_MS;
+    const meanMs = Math.min(longestMs, shortestMs + 2 * this.#wait.computeBacklogMs(nowMs));
+    const retryAfterMs = Math.ceil(meanMs * (0.5 + this.#random.next()));
+    const refusal = createRefusal(reason, { outcome: 'notRun', retryAfterMs });
+    return { kind: 'refuse', callId: item.callId, refusal };
   }
 }
--- a/packages/core/src/process/admission/FairQueue.ts
+++ b/packages/core/src/process/admission/FairQueue.ts
@@ -97,6 +97,17 @@
     return removed;
   }
 
+  /**
+   * Counts the items that match.
+   * @param predicate - True for an item to be counted.
+   */
+  countWhere(predicate: (item: AdmissionItem) => boolean): number {
+    return [...this.#lines.values()].reduce(
+      (sum, line) => sum + line.items.filter(predicate).length,
+      0,
+    );
+  }
+
   /**
    * Computes the cost that would be served before a new item.
    * @param item - The new item.
--- /dev/null
+++ b/packages/core/src/process/admission/LevelEstimate.ts
@@ -0,0 +1,241 @@
+import type { AdmissionItem, QueueLevel, WorkspaceFraction } from './AdmissionItem.js';
+import { divideFairly } from './divideFairly.js';
+import type { Demand } from './divideFairly.js';
+
+/** Time between two changes of the level. */
+const WINDOW_MS = 100;
+
+/** Weight of a window in the smoothed rates; about 3 windows, more than the longest feedback delay of 100 ms. */
+const WINDOW_WEIGHT = 0.3;
+
+/** Callers may send this multiple of the capacity, so that the queue never runs dry. */
+const HEADROOM = 1.15;
+
+/** Lowest class number. */
+const LOWEST_CLASS = 3;
+
+/** Fraction below which a class counts as not admitted, and with which a class is admitted again. */
+const SMALLEST_FRACTION = 0.02;
+const FIRST_FRACTION = 0.05;
+
+/** Growth of the fractions in a window without overload. */
+const GROWTH = 1.5;
+
+/** Part of the way to the computed fraction that is gone in one window of overload. */
+const STEP = 0.5;
+
+/** Workspaces on a level, so that the message stays small. */
+const LEVEL_WORKSPACES = 8;
+
+interface Rate {
+  readonly workspace: string;
+  weight: number;
+  /** Cost that arrived in the window, by class. */
+  readonly arrived: number[];
+  /** Smoothed cost a window, by class. */
+  readonly rates: number[];
+  /** Admitted fraction in the lowest admitted class, and its smoothed value. */
+  fraction: number;
+  smoothFraction: number;
+}
+
+/**
+ * Estimates which part of their calls the callers should still send. The demand of a workspace is what arrives divided
+ * by the fraction that callers were told, both smoothed over more than the feedback delay.
+ */
+export class LevelEstimate {
+  readonly #rates = new Map<string, Rate>();
+
+  #lowestClass = LOWEST_CLASS;
+
+  #fraction = 1;
+
+  #servedCost = 0;
+
+  #servedRate = 0;
+
+  #refusals = 0;
+
+  #windowStartMs: number | undefined;
+
+  /**
+   * Records a call that arrived.
+   * @param item - The call.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  recordArrival(item: AdmissionItem, nowMs: number): void {
+    this.#windowStartMs ??= nowMs;
+    const rate = this.#resolveRate(item.workspace);
+    rate.weight = item.weight;
+    rate.arrived[Math.min(LOWEST_CLASS, item.priority)] += item.cost;
+  }
+
+  /**
+   * Records a call that was answered.
+   * @param cost - Cost of its route.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  recordServed(cost: number, nowMs: number): void {
+    this.#windowStartMs ??= nowMs;
+    this.#servedCost += cost;
+  }
+
+  /**
+   * Records a refusal that was caused by overload.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  recordRefusal(nowMs: number): void {
+    this.#windowStartMs ??= nowMs;
+    this.#refusals += 1;
+  }
+
+  /**
+   * Changes the level if a window has passed.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @param crowded - Whether the queue is long.
+   */
+  advance(nowMs: number, crowded: boolean): void {
+    if (this.#windowStartMs === undefined || nowMs - this.#windowStartMs < WINDOW_MS) {
+      return;
+    }
+    this.#closeWindow((nowMs - this.#windowStartMs) / WINDOW_MS);
+    if (this.#refusals > 0 || crowded) {
+      this.#lower();
+    } else {
+      this.#raise();
+    }
+    this.#refusals = 0;
+    this.#windowStartMs = nowMs;
+  }
+
+  /** Reads the level. */
+  read(): QueueLevel {
+    const shed = [...this.#rates.values()]
+      .filter((rate) => rate.fraction < this.#fraction)
+      .sort((left, right) => this.#computeShed(right) - this.#computeShed(left));
+    return {
+      lowestClass: this.#lowestClass,
+      fraction: this.#computeFraction(shed.slice(LEVEL_WORKSPACES)),
+      workspaces: shed.slice(0, LEVEL_WORKSPACES).map(toWorkspaceFraction),
+    };
+  }
+
+  #closeWindow(windows: number): void {
+    this.#servedRate += WINDOW_WEIGHT * (this.#servedCost / windows - this.#servedRate);
+    this.#servedCost = 0;
+    this.#rates.forEach((rate) => {
+      rate.arrived.forEach((cost, priority) => {
+        const change = cost / windows - rate.rates[priority];
+        Object.assign(rate.rates, { [priority]: rate.rates[priority] + WINDOW_WEIGHT * change });
+      });
+      rate.arrived.fill(0);
+      Object.assign(rate, {
+        smoothFraction: rate.smoothFraction + WINDOW_WEIGHT * (rate.fraction - rate.smoothFraction),
+      });
+    });
+    this.#dropIdle();
+  }
+
+  #lower(): void {
+    const marginal = this.#findMarginalClass();
+    if (marginal < this.#lowestClass) {
+      this.#setLowestClass(marginal, 1);
+    }
+    const left = Math.max(0, HEADROOM * this.#servedRate - this.#computeHigherRate(marginal));
+    const demands = [...this.#rates.values()].map((rate) => this.#computeDemand(rate));
+    const parts = divideFairly(left, demands);
+    demands.forEach(({ workspace, demand }, index) => {
+      const rate = this.#resolveRate(workspace);
+      const target = demand > 0 ? parts[index] / demand : 1;
+      rate.fraction = clamp(rate.fraction + STEP * (target - rate.fraction));
+    });
+    this.#fraction = Math.min(1, this.#fraction * GROWTH);
+    const total = demands.reduce((sum, { demand }) => sum + demand, 0);
+    if (this.#lowestClass > 0 && left < SMALLEST_FRACTION * total) {
+      this.#setLowestClass(this.#lowestClass - 1, 1);
+    }
+  }
+
+  #raise(): void {
+    this.#fraction = Math.min(1, this.#fraction * GROWTH);
+    this.#rates.forEach((rate) => {
+      Object.assign(rate, { fraction: Math.min(1, rate.fraction * GROWTH) });
+    });
+    const isFull = [...this.#rates.values()].every((rate) => rate.fraction >= 1);
+    if (this.#lowestClass < LOWEST_CLASS && isFull && this.#fraction >= 1) {
+      this.#setLowestClass(this.#lowestClass + 1, FIRST_FRACTION);
+    }
+  }
+
+  /** Finds the class in which the capacity is used up, at most the lowest admitted class. */
+  #findMarginalClass(): number {
+    const capacity = HEADROOM * this.#servedRate;
+    const classes = Array.from({ length: this.#lowestClass }, (_, priority) => priority);
+    const marginal = classes.find((priority) => this.#computeHigherRate(priority + 1) > capacity);
+    return marginal ?? this.#lowestClass;
+  }
+
+  #computeHigherRate(priority: number): number {
+    return [...this.#rates.values()].reduce(
+      (sum, rate) => sum + rate.rates.slice(0, priority).reduce((part, cost) => part + cost, 0),
+      0,
+    );
+  }
+
+  #computeDemand(rate: Rate): Demand {
+    const { workspace, weight } = rate;
+    return { workspace, weight, demand: rate.rates[this.#lowestClass] / rate.smoothFraction };
+  }
+
+  #computeShed(rate: Rate): number {
+    return this.#computeDemand(rate).demand * (1 - rate.fraction);
+  }
+
+  /** The workspaces that do not fit on the level share one fraction with those inside their share. */
+  #computeFraction(unlisted: readonly Rate[]): number {
+    if (unlisted.length === 0) {
+      return this.#fraction;
+    }
+    const sum = unlisted.reduce((total, rate) => total + rate.fraction, 0);
+    return Math.min(this.#fraction, sum / unlisted.length);
+  }
+
+  #setLowestClass(lowestClass: number, fraction: number): void {
+    this.#lowestClass = lowestClass;
+    this.#fraction = fraction;
+    this.#rates.forEach((rate) => Object.assign(rate, { fraction, smoothFraction: fraction }));
+  }
+
+  #dropIdle(): void {
+    this.#rates.forEach((rate) => {
+      if (rate.fraction >= 1 && rate.rates.every((cost) => cost < 1e-3)) {
+        this.#rates.delete(rate.workspace);
+      }
+    });
+  }
+
+  #resolveRate(workspace: string): Rate {
+    const known = this.#rates.get(workspace);
+    if (known !== undefined) {
+      return known;
+    }
+    const rate: Rate = {
+      workspace,
+      weight: 1,
+      arrived: [0, 0, 0, 0],
+      rates: [0, 0, 0, 0],
+      fraction: this.#fraction,
+      smoothFraction: this.#fraction,
+    };
+    this.#rates.set(workspace, rate);
+    return rate;
+  }
+}
+
+function toWorkspaceFraction({ workspace, fraction }: Rate): WorkspaceFraction {
+  return { workspace, fraction };
+}
+
+function clamp(fraction: number): number {
+  return Math.max(SMALLEST_FRACTION, Math.min(1, fraction));
+}
