Add the configuration tracker

Nodes take a version from anyone who proves its signature, tell four peers of a new one, and tell one random peer the version in force every 2 s to 4 s. Only two nodes of each failure domain watch the configuration service. A node that has heard nothing for 30 s reads after a random delay of up to 18 s: 18,000 nodes then make 1,000 reads a second, and 1,829 with the 46 watchers and the restart of a whole failure domain in the same second, below the limit of 2,000.

Unsigned claims cannot start a fetch, and equal versions are only counted as a conflict after the signature held. A version that is signed but invalid is remembered as refused, so that it is not fetched again.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * as admission from './process/admission/index.js';
+export * as configuration from './version/configuration/index.js';
 export * as membership from './process/membership/index.js';
 export * as node from './process/node/index.js';
 export * as pressure from './process/pressure/index.js';
--- /dev/null
+++ b/packages/core/src/version/configuration/SectionFetch.ts
@@ -0,0 +1,165 @@
+import { digestText, SECTION_FILES, type Envelope, type Manifest } from '@tanagerpond/bundle';
+import type { ConfigurationCommand } from './ConfigurationCommand.js';
+import { createSectionRequest } from './configurationFrames.js';
+import type { HeldVersion, VersionRank } from './HeldVersion.js';
+
+/** A peer that is a few milliseconds away answers well within this time, even under load. */
+const ANSWER_MS = 1_000;
+
+/** Without any new section for this long, the fetch is given up; the next announcement starts another. */
+const GIVE_UP_MS = 10_000;
+
+/** Peers remembered as sources of one version. */
+const MAX_SOURCES = 8;
+
+export interface FetchOptions {
+  readonly manifest: Manifest;
+  readonly bytes: Uint8Array;
+  readonly signature: Uint8Array;
+  /** Version in force, whose unchanged sections are used again. */
+  readonly held: HeldVersion | undefined;
+  readonly nowMs: number;
+}
+
+/** Collects the sections of one version whose manifest is already verified. */
+export class SectionFetch implements VersionRank {
+  readonly version: number;
+
+  readonly digest: string;
+
+  /** Verified manifest of the version. */
+  readonly manifest: Manifest;
+
+  readonly #options: FetchOptions;
+
+  readonly #collected = new Map<string, string>();
+
+  readonly #sources: string[] = [];
+
+  #asked: string | undefined;
+
+  #askedMs: number;
+
+  #progressMs: number;
+
+  /** @param options - Verified manifest and the version in force. */
+  constructor(options: FetchOptions) {
+    this.version = options.manifest.version;
+    this.digest = digestText(options.bytes);
+    this.manifest = options.manifest;
+    this.#options = options;
+    this.#askedMs = options.nowMs;
+    this.#progressMs = options.nowMs;
+    Object.values(options.manifest.sections).forEach((digest) => {
+      const content = options.held?.sections.get(digest);
+      if (content !== undefined) {
+        this.#collected.set(digest, content);
+      }
+    });
+  }
+
+  /**
+   * Adds a peer that holds the version; the first one is asked at once.
+   * @param peer - Name of the VM.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  addSource(peer: string, nowMs: number): readonly ConfigurationCommand[] {
+    if (!this.#sources.includes(peer) && this.#sources.length < MAX_SOURCES) {
+      this.#sources.push(peer);
+    }
+    return this.#asked === undefined ? this.#askNext(nowMs) : [];
+  }
+
+  /**
+   * Asks another source when the link to the one that was asked is down.
+   * @param peer - Name of the VM.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  dropSource(peer: string, nowMs: number): readonly ConfigurationCommand[] {
+    if (this.#asked !== peer) {
+      return [];
+    }
+    const position = this.#sources.indexOf(peer);
+    this.#sources.splice(position, position < 0 ? 0 : 1);
+    this.#asked = undefined;
+    return this.#askNext(nowMs);
+  }
+
+  /**
+   * Takes a section if its digest is one of those that are missing.
+   * @param content - Section as received.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @returns Whether it was missing.
+   */
+  addSection(content: Uint8Array, nowMs: number): boolean {
+    const digest = digestText(content);
+    if (!this.#listMissing().includes(digest)) {
+      return false;
+    }
+    this.#collected.set(digest, Buffer.from(content).toString('utf8'));
+    this.#progressMs = nowMs;
+    return true;
+  }
+
+  /** Tells whether no section is missing. */
+  isComplete(): boolean {
+    return this.#listMissing().length === 0;
+  }
+
+  /**
+   * Asks the next source when the present one does not answer.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  advance(nowMs: number): readonly ConfigurationCommand[] {
+    return nowMs - this.#askedMs < ANSWER_MS ? [] : this.#askNext(nowMs);
+  }
+
+  /**
+   * Tells whether the fetch has made no progress for too long.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  isStalled(nowMs: number): boolean {
+    return nowMs - this.#progressMs >= GIVE_UP_MS;
+  }
+
+  /** Builds the envelope; `isComplete` must hold. */
+  buildEnvelope(): Envelope {
+    const { bytes, signature, manifest } = this.#options;
+    const sections = SECTION_FILES.map((file) => [
+      file,
+      this.#collected.get(manifest.sections[file]) ?? '',
+    ]);
+    return {
+      manifest: Buffer.from(bytes).toString('utf8'),
+      signature: Buffer.from(signature).toString('base64'),
+      sections: Object.fromEntries(sections) as Envelope['sections'],
+    };
+  }
+
+  /** Shows the fetch for the state dump. */
+  snapshot(nowMs: number): object {
+    return {
+      version: this.version,
+      missing: this.#listMissing().length,
+      sources: this.#sources.length,
+      progressAgeMs: nowMs - this.#progressMs,
+    };
+  }
+
+  #listMissing(): readonly string[] {
+    const wanted = new Set(Object.values(this.manifest.sections));
+    return [...wanted].filter((digest) => !this.#collected.has(digest));
+  }
+
+  #askNext(nowMs: number): readonly ConfigurationCommand[] {
+    const next = this.#sources.shift();
+    if (next === undefined) {
+      return [];
+    }
+    this.#sources.push(next);
+    this.#asked = next;
+    this.#askedMs = nowMs;
+    const frame = createSectionRequest(this.#listMissing());
+    return [{ kind: 'sendRequest', peer: next, frame }];
+  }
+}
--- /dev/null
+++ b/packages/core/src/version/configuration/VersionSpread.ts
@@ -0,0 +1,80 @@
+import type { RandomSource } from '../../process/time/index.js';
+import type { ConfigurationCommand } from './ConfigurationCommand.js';
+import { createAnnouncement, createManifestRequest } from './configurationFrames.js';
+import type { HeldVersion } from './HeldVersion.js';
+import type { PeerChooser } from './PeerChooser.js';
+
+/** Peers told of a new version. A push to 4 reaches about 98% of the nodes; anti-entropy reaches the rest. */
+const PUSH_PEERS = 4;
+
+/** Anti-entropy comes every 2 s to 4 s, so a node that the push missed usually learns within 4 s. */
+const EXCHANGE_MIN_MS = 2_000;
+const EXCHANGE_SPREAD_MS = 2_000;
+
+/** A process that was paused for this long asks peers at once instead of waiting for the next exchange. */
+const PAUSE_MS = 5_000;
+const PEERS_AFTER_PAUSE = 3;
+
+/** Decides whom this node tells of its version, and when. */
+export class VersionSpread {
+  readonly #peers: PeerChooser;
+
+  readonly #random: RandomSource;
+
+  #exchangeAtMs: number;
+
+  #advancedMs: number;
+
+  /** @param options - The choice of peers, the source of randomness and the time of the start. */
+  constructor(options: { peers: PeerChooser; random: RandomSource; startedMs: number }) {
+    this.#peers = options.peers;
+    this.#random = options.random;
+    this.#advancedMs = options.startedMs;
+    this.#exchangeAtMs = this.#drawExchange(options.startedMs);
+  }
+
+  /**
+   * Announces a version that was just adopted to a few peers.
+   * @param held - Version in force.
+   * @param source - Peer that it came from, which needs no announcement.
+   */
+  push(held: HeldVersion, source: string): readonly ConfigurationCommand[] {
+    return announce(held, this.#peers.choose(PUSH_PEERS, source));
+  }
+
+  /**
+   * Tells one random peer the version in force when that is due, and asks peers after a pause of the process.
+   * @param held - Version in force, if any.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  advance(held: HeldVersion | undefined, nowMs: number): readonly ConfigurationCommand[] {
+    const paused = nowMs - this.#advancedMs >= PAUSE_MS;
+    this.#advancedMs = nowMs;
+    const asked = paused ? this.#peers.choose(PEERS_AFTER_PAUSE) : [];
+    return [
+      ...asked.map((peer): ConfigurationCommand => ({
+        kind: 'sendRequest',
+        peer,
+        frame: createManifestRequest(),
+      })),
+      ...this.#exchange(held, nowMs),
+    ];
+  }
+
+  #exchange(held: HeldVersion | undefined, nowMs: number): readonly ConfigurationCommand[] {
+    if (nowMs < this.#exchangeAtMs) {
+      return [];
+    }
+    this.#exchangeAtMs = this.#drawExchange(nowMs);
+    return held === undefined ? [] : announce(held, this.#peers.choose(1));
+  }
+
+  #drawExchange(nowMs: number): number {
+    return nowMs + EXCHANGE_MIN_MS + this.#random.next() * EXCHANGE_SPREAD_MS;
+  }
+}
+
+function announce(held: HeldVersion, peers: readonly string[]): readonly ConfigurationCommand[] {
+  const frame = createAnnouncement(held);
+  return peers.map((peer) => ({ kind: 'sendRequest', peer, frame }));
+}
--- /dev/null
+++ b/packages/core/src/version/configuration/index.ts
@@ -0,0 +1,2 @@
+export * from './ConfigurationCommand.js';
+export * from './ConfigurationTracker.js';
