--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -18,6 +18,7 @@
       'import-x/extensions': ['error', 'ignorePackages', { js: 'always', ts: 'never' }],
       'import-x/prefer-default-export': 'off',
       'no-await-in-loop': 'off',
+      'no-param-reassign': ['error', { props: true, ignorePropertyModificationsFor: ['call'] }],
       'no-plusplus': ['error', { allowForLoopAfterthoughts: true }],
       'no-void': ['error', { allowAsStatement: true }],
       '@typescript-eslint/no-use-before-define': [
--- /dev/null
+++ b/packages/core/src/process/node/Departure.ts
@@ -0,0 +1,128 @@
+import { create } from '@bufbuild/protobuf';
+import { LeavingSchema } from '@tanagerpond/wire';
+import type { VmIdentity } from '../membership/index.js';
+import type { Outbox } from './Outbox.js';
+import type { PeerLinks } from './PeerLinks.js';
+
+/**
+ * Shortest time between the announcement of a planned stop and its end, in milliseconds. In it, callers that still
+ * have this node's address are served, and peers learn that it leaves.
+ */
+const ANNOUNCE_MS = 2_000;
+
+/** Decides whether this VM leaves, tells the peers, and says when a drain is done. */
+export class Departure {
+  readonly #self: VmIdentity;
+
+  readonly #links: PeerLinks;
+
+  readonly #outbox: Outbox;
+
+  readonly #drainLimitMs: number;
+
+  #drainSinceMs: number | undefined;
+
+  #backendDrains = false;
+
+  #listedLeaving = false;
+
+  #announced = false;
+
+  #isDone = false;
+
+  /**
+   * @param self - VM of this node.
+   * @param links - Peers to tell.
+   * @param outbox - Takes the announcements.
+   * @param drainLimitMs - Longest time that calls in flight get, in milliseconds.
+   */
+  constructor(self: VmIdentity, links: PeerLinks, outbox: Outbox, drainLimitMs: number) {
+    this.#self = self;
+    this.#links = links;
+    this.#outbox = outbox;
+    this.#drainLimitMs = drainLimitMs;
+  }
+
+  /** Tells whether the backend server gets no new calls. */
+  isLeaving(): boolean {
+    return this.#drainSinceMs !== undefined || this.#backendDrains || this.#listedLeaving;
+  }
+
+  /** Tells whether the process is about to stop. */
+  isDraining(): boolean {
+    return this.#drainSinceMs !== undefined;
+  }
+
+  /**
+   * Starts the planned stop of the process.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  startDrain(nowMs: number): void {
+    this.#drainSinceMs ??= nowMs;
+    this.#update();
+  }
+
+  /**
+   * Takes what the backend server says of itself.
+   * @param draining - It finishes its work and takes no more.
+   */
+  recordBackendDrain(draining: boolean): void {
+    this.#backendDrains = draining;
+    this.#update();
+  }
+
+  /**
+   * Takes what the platform's list says of the own VM.
+   * @param leaving - The list has it as leaving.
+   */
+  recordListed(leaving: boolean): void {
+    this.#listedLeaving = leaving;
+    this.#update();
+  }
+
+  /**
+   * Tells a peer whose stream has just come up.
+   * @param peer - VM at the other end.
+   * @param inbound - The peer opened the stream.
+   */
+  announceTo(peer: string, inbound: boolean): void {
+    if (this.#announced) {
+      this.#send(peer, inbound, false);
+    }
+  }
+
+  /**
+   * Tells whether a drain has just come to its end.
+   * @param callsInFlight - Calls that are not done.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  finishDrain(callsInFlight: number, nowMs: number): boolean {
+    if (this.#drainSinceMs === undefined || this.#isDone) {
+      return false;
+    }
+    const elapsedMs = nowMs - this.#drainSinceMs;
+    const isIdle = callsInFlight === 0 && elapsedMs >= ANNOUNCE_MS;
+    this.#isDone = isIdle || elapsedMs >= this.#drainLimitMs;
+    return this.#isDone;
+  }
+
+  #update(): void {
+    const leaving = this.isLeaving();
+    if (leaving === this.#announced) {
+      return;
+    }
+    this.#announced = leaving;
+    this.#links.listOutbound().forEach((peer) => this.#send(peer, false, !leaving));
+    this.#links.listInbound().forEach((peer) => this.#send(peer, true, !leaving));
+  }
+
+  #send(peer: string, inbound: boolean, returned: boolean): void {
+    const { name: vm, incarnation } = this.#self;
+    const value = create(LeavingSchema, { vm, incarnation, returned });
+    if (inbound) {
+      this.#outbox.sendReply(peer, { case: 'leaving', value });
+      return;
+    }
+    this.#outbox.sendRequest(peer, { case: 'leaving', value });
+  }
+}
--- /dev/null
+++ b/packages/core/src/process/node/FrameDispatcher.ts
@@ -0,0 +1,180 @@
+import type { Frame } from '@tanagerpond/wire';
+import type * as calls from '../../request/calls/index.js';
+import { createRefusal, type Refusal } from '../../request/index.js';
+import type * as configuration from '../../version/configuration/index.js';
+import type * as shares from '../shares/index.js';
+import type { NodeServices } from './NodeServices.js';
+import type { FrameBody } from './Outbox.js';
+
+/** A frame and where it came from. */
+export interface ReceivedFrame {
+  readonly peer: string;
+  readonly incarnation: string;
+  readonly inbound: boolean;
+  readonly frame: Frame;
+}
+
+/** What the handlers of frames work on. */
+export interface FrameDispatcherParts {
+  readonly services: NodeServices;
+  readonly entry: calls.EntrySide;
+  readonly exit: calls.ExitSide;
+  readonly applyShares: (commands: readonly shares.ShareCommand[], nowMs: number) => void;
+  readonly receiveConfiguration: (
+    peer: string,
+    frame: configuration.ConfigurationFrame,
+    nowMs: number,
+  ) => void;
+}
+
+type FrameCase = FrameBody['case'];
+
+type ValueOf<Case extends FrameCase> = Extract<FrameBody, { case: Case }>['value'];
+
+/** On which stream a frame may come. */
+type Direction = 'inbound' | 'outbound' | 'both';
+
+interface FrameRule<Case extends FrameCase> {
+  readonly direction: Direction;
+  readonly handle: (value: ValueOf<Case>, from: ReceivedFrame, nowMs: number) => void;
+}
+
+type FrameRules = { readonly [Case in FrameCase]?: FrameRule<Case> };
+
+/** Hands each frame to the part that decides on it; frames on the wrong stream are dropped and counted. */
+export class FrameDispatcher {
+  readonly #parts: FrameDispatcherParts;
+
+  readonly #rules: FrameRules;
+
+  /** @param parts - What the handlers work on. */
+  constructor(parts: FrameDispatcherParts) {
+    this.#parts = parts;
+    this.#rules = { ...this.#createCallRules(), ...this.#createControlRules() };
+  }
+
+  /**
+   * Handles one frame.
+   * @param received - The frame and where it came from.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  dispatch(received: ReceivedFrame, nowMs: number): void {
+    const { body } = received.frame;
+    const rule = body.case === undefined ? undefined : this.#rules[body.case];
+    if (rule === undefined || !isAllowed(rule.direction, received.inbound)) {
+      this.#parts.services.counters.count('framesDropped');
+      return;
+    }
+    (rule as FrameRule<FrameCase>).handle(body.value as ValueOf<FrameCase>, received, nowMs);
+  }
+
+  #createCallRules(): FrameRules {
+    const { entry, exit } = this.#parts;
+    return {
+      openCall: {
+        direction: 'inbound',
+        handle: (value, { peer }, nowMs) => {
+          const bodyOf = value.bodySize > 0 ? value.callId : '';
+          exit.calls.open(peer, value, bodyOf, nowMs);
+        },
+      },
+      cancelCall: {
+        direction: 'inbound',
+        handle: (value, { peer }, nowMs) => exit.calls.cancel(peer, value, nowMs),
+      },
+      answer: {
+        direction: 'outbound',
+        handle: (value, { peer }, nowMs) => entry.attempts.receiveAnswer(peer, value, nowMs),
+      },
+      refused: {
+        direction: 'outbound',
+        handle: (value, { peer }, nowMs) => entry.calls.receiveRefused(peer, value, nowMs),
+      },
+      ticketRequest: {
+        direction: 'inbound',
+        handle: (value, { peer }, nowMs) => {
+          const refusal = this.#findTicketRefusal(value.route);
+          entry.ticketRequests.answer(peer, value, refusal, nowMs);
+        },
+      },
+      ticketGrant: {
+        direction: 'outbound',
+        handle: (value, { peer }) => entry.ticketRequests.receiveGrant(peer, value),
+      },
+    };
+  }
+
+  #createControlRules(): FrameRules {
+    const { services } = this.#parts;
+    return {
+      shareRequest: {
+        direction: 'inbound',
+        handle: (_value, from, nowMs) => this.#share(from, nowMs),
+      },
+      shareGrant: {
+        direction: 'outbound',
+        handle: (_value, from, nowMs) => this.#share(from, nowMs),
+      },
+      shareReturn: {
+        direction: 'inbound',
+        handle: (_value, from, nowMs) => this.#share(from, nowMs),
+      },
+      manifestAnnouncement: {
+        direction: 'both',
+        handle: (_value, from, nowMs) => this.#configure(from, nowMs),
+      },
+      manifestRequest: {
+        direction: 'inbound',
+        handle: (_value, from, nowMs) => this.#configure(from, nowMs),
+      },
+      sectionRequest: {
+        direction: 'both',
+        handle: (_value, from, nowMs) => this.#configure(from, nowMs),
+      },
+      sectionReply: {
+        direction: 'both',
+        handle: (_value, from, nowMs) => this.#configure(from, nowMs),
+      },
+      crashReport: {
+        direction: 'inbound',
+        handle: (value, _from, nowMs) => {
+          if (value.service === services.self.service) {
+            services.suspects.recordCrash(value.fingerprints, nowMs);
+          }
+        },
+      },
+      leaving: {
+        direction: 'both',
+        handle: (value, { peer, incarnation }) => {
+          if (value.returned) {
+            services.membership.clearLeaving(peer);
+            return;
+          }
+          services.membership.markLeaving(peer, incarnation);
+        },
+      },
+    };
+  }
+
+  #findTicketRefusal(routeName: string): Refusal | undefined {
+    const { services } = this.#parts;
+    if (services.isLeaving()) {
+      return createRefusal('leaving');
+    }
+    const route = services.findBundle()?.routes.get(routeName);
+    return route?.service === services.self.service ? undefined : createRefusal('vmUnknown');
+  }
+
+  #share({ peer, frame }: ReceivedFrame, nowMs: number): void {
+    const { services, applyShares } = this.#parts;
+    applyShares(services.shares.receive(peer, frame.body as shares.ShareFrame, nowMs), nowMs);
+  }
+
+  #configure({ peer, frame }: ReceivedFrame, nowMs: number): void {
+    this.#parts.receiveConfiguration(peer, frame as configuration.ConfigurationFrame, nowMs);
+  }
+}
+
+function isAllowed(direction: Direction, inbound: boolean): boolean {
+  return direction === 'both' || (direction === 'inbound') === inbound;
+}
--- a/packages/core/src/process/node/NodeCommand.ts
+++ b/packages/core/src/process/node/NodeCommand.ts
@@ -2,7 +2,10 @@
 import type { Refusal } from '../../request/index.js';
 import type { HeaderPair } from './NodeMessage.js';
 
-/** Everything that a node's decisions ask of the host. */
+/**
+ * Everything that a node's decisions ask of the host. `bodyOf` is the name of a kept body; the empty name stands for no
+ * body, and a name that is not kept is a fault that must never pass for an empty body.
+ */
 export type NodeCommand =
   /** Answers a caller or the backend server's own outgoing call. The body is kept under `bodyOf`. */
   | {
--- /dev/null
+++ b/packages/core/src/process/node/NodeMachine.ts
@@ -0,0 +1,307 @@
+import { describeBundleError, type Bundle } from '@tanagerpond/bundle';
+import * as calls from '../../request/calls/index.js';
+import * as configuration from '../../version/configuration/index.js';
+import type * as membership from '../membership/index.js';
+import type * as shares from '../shares/index.js';
+import { BackendHealth } from './BackendHealth.js';
+import { createNodeServices, type NodeMachineOptions } from './createNodeServices.js';
+import { Departure } from './Departure.js';
+import { FrameDispatcher } from './FrameDispatcher.js';
+import type { NodeCommand } from './NodeCommand.js';
+import type { NodeMessage } from './NodeMessage.js';
+import type { NodeServices } from './NodeServices.js';
+import { PeerLinks } from './PeerLinks.js';
+
+type Handlers = {
+  readonly [Kind in NodeMessage['kind']]: (
+    message: Extract<NodeMessage, { kind: Kind }>,
+    nowMs: number,
+  ) => void;
+};
+
+/**
+ * Every decision of a node: a typed message and the time in, typed commands out. It does no input or output and reads
+ * no clock, so that a session can be replayed exactly.
+ */
+export class NodeMachine {
+  readonly #services: NodeServices;
+
+  readonly #links = new PeerLinks();
+
+  readonly #health = new BackendHealth();
+
+  readonly #departure: Departure;
+
+  readonly #configuration: configuration.ConfigurationTracker;
+
+  readonly #entry: calls.EntrySide;
+
+  readonly #exit: calls.ExitSide;
+
+  readonly #frames: FrameDispatcher;
+
+  readonly #handlers: Handlers;
+
+  #bundle: Bundle | undefined;
+
+  #isGivenBundle = false;
+
+  /** @param options - Identity, randomness and limits of the node. */
+  constructor(options: NodeMachineOptions) {
+    this.#services = createNodeServices(options, {
+      findIncarnation: (peer) => this.#links.findIncarnation(peer),
+      findBundle: () => (this.#isReady() ? this.#bundle : undefined),
+      isLeaving: () => this.#departure.isLeaving(),
+    });
+    const { outbox } = this.#services;
+    this.#departure = new Departure(options.self, this.#links, outbox, options.drainLimitMs);
+    const table = new calls.ExitTable();
+    this.#entry = new calls.EntrySide(this.#services, table);
+    this.#exit = new calls.ExitSide(this.#services, table, (requestIds, nowMs) =>
+      this.#entry.cancelChildren(requestIds, nowMs),
+    );
+    this.#configuration = new configuration.ConfigurationTracker({
+      self: options.self,
+      membership: this.#services.membership,
+      random: options.random,
+      trustedKeys: options.trustedKeys,
+      startedMs: options.startedMs,
+    });
+    this.#frames = new FrameDispatcher({
+      services: this.#services,
+      entry: this.#entry,
+      exit: this.#exit,
+      applyShares: (commands, nowMs) => this.#applyShares(commands, nowMs),
+      receiveConfiguration: (peer, frame, nowMs) =>
+        this.#applyConfiguration(this.#configuration.receive(peer, frame, nowMs), nowMs),
+    });
+    this.#handlers = this.#createHandlers();
+  }
+
+  /**
+   * Handles one message.
+   * @param message - What happened.
+   * @param nowMs - Monotonic time, in milliseconds; never less than in the call before.
+   * @returns What the host has to do, in order.
+   */
+  handle(message: NodeMessage, nowMs: number): readonly NodeCommand[] {
+    const handler = this.#handlers[message.kind] as (message: NodeMessage, nowMs: number) => void;
+    handler(message, nowMs);
+    this.#handleLocalFrames(nowMs);
+    return this.#services.outbox.takeCommands();
+  }
+
+  /** Reads the counters of the process. */
+  readCounters(): Readonly<Record<string, number>> {
+    return this.#services.counters.read();
+  }
+
+  /**
+   * Shows the state for the state dump; bounded in size and without keys, tickets and bodies.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  snapshot(nowMs: number): object {
+    const services = this.#services;
+    return {
+      self: services.self,
+      bundleVersion: this.#bundle?.version ?? null,
+      isReady: this.#isReady(),
+      isLeaving: this.#departure.isLeaving(),
+      entryCalls: this.#entry.size,
+      exitCalls: this.#exit.size,
+      links: { outbound: this.#links.listOutbound(), inbound: this.#links.listInbound() },
+      configuration: this.#configuration.snapshot(nowMs),
+      membership: services.membership.snapshot(nowMs),
+      router: services.router.snapshot(nowMs),
+      retryRatio: services.retryRatio.snapshot(nowMs),
+      admission: services.admission.snapshot(nowMs),
+      pressure: services.pressure.snapshot(nowMs),
+      shares: services.shares.snapshot(nowMs),
+      suspects: services.suspects.snapshot(nowMs),
+      once: services.once.snapshot(),
+      counters: this.readCounters(),
+    };
+  }
+
+  #createHandlers(): Handlers {
+    return {
+      callerRequest: ({ request }, nowMs) => this.#entry.calls.receiveCaller(request, nowMs),
+      egressRequest: ({ request, callToken }, nowMs) =>
+        this.#entry.calls.receiveEgress(request, callToken, nowMs),
+      requesterGone: ({ requestId }, nowMs) => this.#entry.calls.dropRequester(requestId, nowMs),
+      peerFrame: (message, nowMs) => this.#frames.dispatch(message, nowMs),
+      linkUp: (message, nowMs) => this.#handleLinkUp(message, nowMs),
+      linkDown: (message, nowMs) => this.#handleLinkDown(message, nowMs),
+      linkFailed: ({ peer }, nowMs) => this.#handleLinkFailed(peer, nowMs),
+      backendResult: ({ callId, result }, nowMs) => {
+        this.#health.recordResult(result, nowMs);
+        this.#exit.runs.receiveResult(callId, result, nowMs);
+      },
+      backendHealth: ({ state }, nowMs) => this.#handleHealth(state, nowMs),
+      bundleAdopted: ({ bundle }, nowMs) => {
+        this.#isGivenBundle = true;
+        this.#adopt(bundle, nowMs);
+      },
+      envelopeRead: ({ envelope }, nowMs) =>
+        this.#applyConfiguration(this.#configuration.offerEnvelope(envelope, nowMs), nowMs),
+      serviceUnavailable: () => this.#services.counters.count('serviceUnavailable'),
+      vmsListed: ({ vms }, nowMs) => this.#handleList(vms, nowMs),
+      drainRequested: (_message, nowMs) => this.#departure.startDrain(nowMs),
+      tick: (_message, nowMs) => this.#advance(nowMs),
+    };
+  }
+
+  #isReady(): boolean {
+    return this.#isGivenBundle || this.#configuration.isReady();
+  }
+
+  #advance(nowMs: number): void {
+    const { admission: queue, once: table, outbox } = this.#services;
+    this.#exit.runs.apply(queue.advance(nowMs), nowMs);
+    this.#exit.runs.advance(nowMs);
+    this.#entry.calls.advance(nowMs);
+    this.#applyShares(this.#services.shares.advance(nowMs), nowMs);
+    this.#applyConfiguration(this.#configuration.advance(nowMs), nowMs);
+    table.advance(nowMs).forEach((bodyOf) => outbox.add({ kind: 'releaseBody', bodyOf }));
+    this.#finishDrain(nowMs);
+  }
+
+  #finishDrain(nowMs: number): void {
+    const inFlight = this.#entry.size + this.#exit.size;
+    if (!this.#departure.finishDrain(inFlight, nowMs)) {
+      return;
+    }
+    this.#applyShares(this.#services.shares.release(nowMs), nowMs);
+    this.#services.outbox.add({ kind: 'drained' });
+  }
+
+  #handleLocalFrames(nowMs: number): void {
+    const { self, outbox } = this.#services;
+    let frames = outbox.takeLocalFrames();
+    while (frames.length > 0) {
+      frames.forEach(({ frame, inbound }) =>
+        this.#frames.dispatch(
+          { peer: self.name, incarnation: self.incarnation, inbound, frame },
+          nowMs,
+        ),
+      );
+      frames = outbox.takeLocalFrames();
+    }
+  }
+
+  #handleLinkUp(message: Extract<NodeMessage, { kind: 'linkUp' }>, nowMs: number): void {
+    const { peer, incarnation, inbound } = message;
+    this.#links.recordUp(peer, incarnation, inbound);
+    this.#services.membership.recordHello(peer, incarnation);
+    this.#departure.announceTo(peer, inbound);
+    if (!inbound) {
+      this.#services.router.recordLink(peer, true, nowMs);
+      this.#entry.attempts.recordLinkUp(peer, incarnation);
+      this.#applyConfiguration(this.#configuration.recordLink(peer, true, nowMs), nowMs);
+    }
+  }
+
+  #handleLinkDown(message: Extract<NodeMessage, { kind: 'linkDown' }>, nowMs: number): void {
+    const { peer, incarnation, inbound } = message;
+    this.#links.recordDown(peer, incarnation, inbound);
+    if (inbound) {
+      this.#exit.calls.recordPeerLost(peer, nowMs);
+      return;
+    }
+    this.#services.router.recordLink(peer, false, nowMs);
+    this.#applyConfiguration(this.#configuration.recordLink(peer, false, nowMs), nowMs);
+    this.#entry.ticketRequests.recordLinkLost(peer, nowMs);
+    this.#entry.attempts.recordLinkDown(peer, incarnation, nowMs);
+  }
+
+  #handleLinkFailed(peer: string, nowMs: number): void {
+    this.#services.router.recordLink(peer, false, nowMs);
+    this.#entry.ticketRequests.recordLinkLost(peer, nowMs);
+    this.#entry.attempts.recordLinkFailed(peer, nowMs);
+  }
+
+  #handleHealth(
+    report: Extract<NodeMessage, { kind: 'backendHealth' }>['state'],
+    nowMs: number,
+  ): void {
+    const state = this.#health.decide(report, nowMs);
+    if (state === undefined) {
+      return;
+    }
+    this.#departure.recordBackendDrain(state === 'draining');
+    this.#exit.runs.apply(this.#services.admission.setBackend(state, nowMs), nowMs);
+  }
+
+  #handleList(vms: readonly membership.VmRecord[], nowMs: number): void {
+    const { membership: members, self } = this.#services;
+    members.replaceList(vms, nowMs);
+    this.#departure.recordListed(members.find(self.name)?.state === 'leaving');
+  }
+
+  #adopt(bundle: Bundle, nowMs: number): void {
+    this.#bundle = bundle;
+    const service = bundle.services.get(this.#services.self.service);
+    if (service !== undefined) {
+      this.#services.admission.configure({ slots: service.slots, queue: service.queue });
+    }
+    this.#services.shares.applyBundle(bundle, nowMs);
+    this.#entry.calls.recheckKeys(bundle);
+    this.#services.outbox.add({
+      kind: 'log',
+      level: 'info',
+      part: 'configuration',
+      text: 'bundle is in force',
+      fields: { version: bundle.version },
+    });
+  }
+
+  #applyShares(commands: readonly shares.ShareCommand[], nowMs: number): void {
+    const { outbox } = this.#services;
+    commands.forEach((command) => {
+      if (command.kind === 'granted') {
+        this.#entry.calls.recordRateGranted(command.requestId, nowMs);
+        return;
+      }
+      if (command.kind === 'denied') {
+        this.#entry.calls.recordRateDenied(command.requestId, command.retryAfterMs, nowMs);
+        return;
+      }
+      outbox.forward(command);
+    });
+  }
+
+  #applyConfiguration(
+    commands: readonly configuration.ConfigurationCommand[],
+    nowMs: number,
+  ): void {
+    const { outbox, counters } = this.#services;
+    commands.forEach((command) => {
+      if (command.kind === 'adopt') {
+        this.#adopt(command.bundle, nowMs);
+        return;
+      }
+      if (command.kind === 'rejected') {
+        counters.count('bundlesRejected');
+        outbox.add(createRejectedLog(command));
+        return;
+      }
+      if (command.kind === 'sendRequest' || command.kind === 'sendReply') {
+        outbox.forward(command);
+        return;
+      }
+      outbox.add(command);
+    });
+  }
+}
+
+function createRejectedLog(
+  command: Extract<configuration.ConfigurationCommand, { kind: 'rejected' }>,
+): NodeCommand {
+  return {
+    kind: 'log',
+    level: 'warn',
+    part: 'configuration',
+    text: 'bundle was refused',
+    fields: { source: command.source, error: describeBundleError(command.error) },
+  };
+}
--- a/packages/core/src/process/node/NodeMessage.ts
+++ b/packages/core/src/process/node/NodeMessage.ts
@@ -68,6 +68,7 @@
   | { readonly kind: 'backendResult'; readonly callId: string; readonly result: BackendResult }
   /** Health as the backend server's endpoint tells it; it lags and may mislead. */
   | { readonly kind: 'backendHealth'; readonly state: 'healthy' | 'draining' | 'unreachable' }
+  /** A bundle that the host has verified itself; the node serves with it at once. */
   | { readonly kind: 'bundleAdopted'; readonly bundle: Bundle }
   | { readonly kind: 'envelopeRead'; readonly envelope: string }
   | { readonly kind: 'serviceUnavailable' }
--- /dev/null
+++ b/packages/core/src/process/node/NodeServices.ts
@@ -0,0 +1,36 @@
+import type { Bundle } from '@tanagerpond/bundle';
+import type { AdmissionQueue } from '../admission/index.js';
+import type { Membership, VmIdentity } from '../membership/index.js';
+import type { OnceTable, TicketIssuer } from '../once/index.js';
+import type { PressureTable } from '../pressure/index.js';
+import type { RetryRatio, Router } from '../routing/index.js';
+import type { ShareLedger } from '../shares/index.js';
+import type { SuspectTable } from '../suspects/index.js';
+import type { RandomSource } from '../time/index.js';
+import type { Counters } from './Counters.js';
+import type { Outbox } from './Outbox.js';
+
+/** What the call tables of one process share. */
+export interface NodeServices {
+  readonly self: VmIdentity;
+  readonly random: RandomSource;
+  readonly membership: Membership;
+  readonly router: Router;
+  readonly retryRatio: RetryRatio;
+  readonly pressure: PressureTable;
+  readonly shares: ShareLedger;
+  readonly admission: AdmissionQueue;
+  readonly suspects: SuspectTable;
+  readonly once: OnceTable;
+  readonly tickets: TicketIssuer;
+  readonly outbox: Outbox;
+  readonly counters: Counters;
+  /** Draws an unguessable token. */
+  readonly createToken: () => string;
+  /** Incarnation of a peer on the stream that this node opened; undefined while there is none. */
+  findIncarnation(peer: string): string | undefined;
+  /** Bundle in force; undefined until the first one. */
+  findBundle(): Bundle | undefined;
+  /** The node no longer takes calls for its backend server. */
+  isLeaving(): boolean;
+}
--- /dev/null
+++ b/packages/core/src/process/node/createNodeServices.ts
@@ -0,0 +1,70 @@
+import * as crypto from 'node:crypto';
+import * as admission from '../admission/index.js';
+import * as membership from '../membership/index.js';
+import * as once from '../once/index.js';
+import * as pressure from '../pressure/index.js';
+import * as routing from '../routing/index.js';
+import * as shares from '../shares/index.js';
+import * as suspects from '../suspects/index.js';
+import type { RandomSource } from '../time/index.js';
+import { Counters } from './Counters.js';
+import type { NodeServices } from './NodeServices.js';
+import { Outbox } from './Outbox.js';
+
+/** Limits of the admission queue until a bundle declares those of the service. */
+const INITIAL_LIMITS = { slots: 1, queue: 16 };
+
+const TOKEN_BYTES = 18;
+
+/** Time for which a poison request stays refused until a bundle says otherwise, in milliseconds. */
+const POISON_BLOCK_MS = 600_000;
+
+/** What a node machine needs from its host. */
+export interface NodeMachineOptions {
+  readonly self: membership.VmIdentity;
+  readonly random: RandomSource;
+  /** Public keys that may sign bundles, raw ed25519 in base64. */
+  readonly trustedKeys: readonly string[];
+  /** Monotonic time of the start of the process, in milliseconds. */
+  readonly startedMs: number;
+  /** Longest time that calls in flight get during a planned stop, in milliseconds. */
+  readonly drainLimitMs: number;
+  /** Draws unguessable call tokens; random unless a test needs fixed ones. */
+  readonly createToken?: () => string;
+  /** Secret of the tickets; random unless a test needs a fixed one. */
+  readonly ticketSecret?: Buffer;
+}
+
+/** Views of the machine that the services look at. */
+type MachineViews = Pick<NodeServices, 'findIncarnation' | 'findBundle' | 'isLeaving'>;
+
+/**
+ * Creates the decision modules of one process.
+ * @param options - Identity, randomness and limits of the node.
+ * @param views - State that the machine keeps itself.
+ */
+export function createNodeServices(options: NodeMachineOptions, views: MachineViews): NodeServices {
+  const { self, random, startedMs } = options;
+  const members = new membership.Membership(self);
+  return {
+    self,
+    random,
+    membership: members,
+    router: new routing.Router({ self, membership: members, random }),
+    retryRatio: new routing.RetryRatio(),
+    pressure: new pressure.PressureTable({ random }),
+    shares: new shares.ShareLedger({ self, membership: members, random, startedMs }),
+    admission: new admission.AdmissionQueue({ ...INITIAL_LIMITS, random }),
+    suspects: new suspects.SuspectTable({ blockMs: POISON_BLOCK_MS }),
+    once: new once.OnceTable(),
+    tickets: new once.TicketIssuer(self, options.ticketSecret),
+    outbox: new Outbox(self.name),
+    counters: new Counters(),
+    createToken: options.createToken ?? createRandomToken,
+    ...views,
+  };
+}
+
+function createRandomToken(): string {
+  return crypto.randomBytes(TOKEN_BYTES).toString('base64url');
+}
--- a/packages/core/src/process/node/index.ts
+++ b/packages/core/src/process/node/index.ts
@@ -1,2 +1,3 @@
 export type * from './NodeCommand.js';
 export type * from './NodeMessage.js';
+export * from './NodeMachine.js';
--- /dev/null
+++ b/packages/core/src/process/once/index.ts
@@ -0,0 +1,4 @@
+export * from './OnceTable.js';
+export * from './parseTicket.js';
+export * from './Ticket.js';
+export * from './TicketIssuer.js';
--- /dev/null
+++ b/packages/core/src/request/calls/BackendRuns.ts
@@ -0,0 +1,293 @@
+import { create } from '@bufbuild/protobuf';
+import { CrashReportSchema } from '@tanagerpond/wire';
+import type { AdmissionDecision, AdmissionEnd } from '../../process/admission/index.js';
+import type { BackendResult, HeaderPair } from '../../process/node/NodeMessage.js';
+import type { NodeServices } from '../../process/node/NodeServices.js';
+import { computeRetryAfter } from '../computeRetryAfter.js';
+import * as identity from '../identity/index.js';
+import { createRefusal, type Refusal, type RefusalReason } from '../refusals.js';
+import type { ExitCall } from './ExitCall.js';
+import type { ExitReplies } from './ExitReplies.js';
+import type { ExitTable } from './ExitTable.js';
+
+/** Nodes of the service that hear of a crash; a service has about 7 instances on average. */
+const CRASH_REPORT_PEERS = 32;
+
+/** Base of the time after which a call that did not run may come back, in milliseconds. */
+const RETRY_AFTER_MS = 500;
+
+/** Time that the host gives a backend server beyond the deadline, which this node enforces itself, in milliseconds. */
+const HOST_TIMEOUT_MARGIN_MS = 5_000;
+
+type ResultOf<Kind extends BackendResult['kind']> = Extract<BackendResult, { kind: Kind }>;
+
+/** What a requester hears when this node stopped the run. */
+const STOP_REASONS: Readonly<Record<NonNullable<ExitCall['stopReason']>, RefusalReason>> = {
+  preempted: 'preempted',
+  deadline: 'deadlinePassedWhileRunning',
+  cancelled: 'cancelled',
+};
+
+/** Runs calls on the backend server as the admission queue decides, and handles how the runs end. */
+export class BackendRuns {
+  readonly #services: NodeServices;
+
+  readonly #table: ExitTable;
+
+  readonly #replies: ExitReplies;
+
+  readonly #cancelChildren: (requestIds: readonly string[], nowMs: number) => void;
+
+  readonly #handlers: {
+    readonly [Kind in BackendResult['kind']]: (
+      call: ExitCall,
+      result: ResultOf<Kind>,
+      nowMs: number,
+    ) => void;
+  };
+
+  /**
+   * @param services - What the call tables share.
+   * @param table - Calls of the backend server.
+   * @param replies - Sends answers and refusals.
+   * @param cancelChildren - Ends outgoing calls of a call that has ended.
+   */
+  constructor(
+    services: NodeServices,
+    table: ExitTable,
+    replies: ExitReplies,
+    cancelChildren: (requestIds: readonly string[], nowMs: number) => void,
+  ) {
+    this.#services = services;
+    this.#table = table;
+    this.#replies = replies;
+    this.#cancelChildren = cancelChildren;
+    this.#handlers = {
+      answered: (call, result, nowMs) => this.#handleAnswered(call, result, nowMs),
+      notSent: (call, _result, nowMs) => this.#handleNotSent(call, nowMs),
+      broken: (call, _result, nowMs) => this.#handleBroken(call, nowMs),
+      answerTooLarge: (call, _result, nowMs) => this.#handleAnswerTooLarge(call, nowMs),
+      cancelled: (call, _result, nowMs) => this.#handleCancelled(call, nowMs),
+    };
+  }
+
+  /**
+   * Carries out decisions of the admission queue.
+   * @param decisions - In the order of the queue.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  apply(decisions: readonly AdmissionDecision[], nowMs: number): void {
+    decisions.forEach((decision) => {
+      const call = this.#table.find(decision.callId);
+      if (call === undefined) {
+        return;
+      }
+      if (decision.kind === 'refuse') {
+        this.refuse(call, decision.refusal, nowMs);
+        return;
+      }
+      if (decision.kind === 'preempt') {
+        this.#stop(call, 'preempted');
+        return;
+      }
+      this.#run(call, nowMs);
+    });
+  }
+
+  /**
+   * Refuses a call that did not run. One that runs at most once is made void, so that "not run" stays true.
+   * @param call - Call that is queued or was given back by the backend server.
+   * @param refusal - Reason.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  refuse(call: ExitCall, refusal: Refusal, nowMs: number): void {
+    const { once } = call;
+    const isProved =
+      once === undefined || this.#services.once.recordVoid(once.id, once.digest, once.expiryMs);
+    this.#end(call, { ...refusal, outcome: isProved ? 'notRun' : 'unknown' }, nowMs);
+  }
+
+  /**
+   * Ends a call that nobody waits for.
+   * @param call - Call to end; a running one must be repeatable.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  cancel(call: ExitCall, nowMs: number): void {
+    if (this.#services.admission.cancel(call.callId, nowMs) === 'running') {
+      this.#stop(call, 'cancelled');
+      this.#cancelChildren([...call.children], nowMs);
+      return;
+    }
+    this.refuse(call, createRefusal('cancelled'), nowMs);
+  }
+
+  /**
+   * Handles the end of a run.
+   * @param callId - Call that ran.
+   * @param result - What the backend server did.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  receiveResult(callId: string, result: BackendResult, nowMs: number): void {
+    const call = this.#table.find(callId);
+    if (call === undefined) {
+      this.#services.outbox.add({ kind: 'releaseBody', bodyOf: callId });
+      return;
+    }
+    const handle = this.#handlers[result.kind] as (
+      call: ExitCall,
+      result: BackendResult,
+      nowMs: number,
+    ) => void;
+    handle(call, result, nowMs);
+  }
+
+  /**
+   * Stops running calls whose deadline has passed. A call that runs at most once runs on, so that its answer is known.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  advance(nowMs: number): void {
+    this.#table
+      .list()
+      .filter((call) => call.state === 'running' && nowMs >= call.context.deadlineMs)
+      .filter((call) => call.once === undefined && call.stopReason === undefined)
+      .forEach((call) => {
+        this.#stop(call, 'deadline');
+        this.#cancelChildren([...call.children], nowMs);
+      });
+  }
+
+  #run(call: ExitCall, nowMs: number): void {
+    call.state = 'running';
+    call.startedMs = nowMs;
+    const { context } = call;
+    const remainingMs = Math.max(1, Math.round(context.deadlineMs - nowMs));
+    this.#services.counters.count('runs');
+    this.#services.outbox.add({
+      kind: 'callBackend',
+      callId: call.callId,
+      method: call.method,
+      target: call.target,
+      headers: [
+        ...call.headers,
+        ['tanagerpond-call', call.token],
+        ['tanagerpond-workspace', context.workspace],
+        ['tanagerpond-priority', String(context.priority)],
+        ['tanagerpond-root', context.rootId],
+        ['tanagerpond-deadline-ms', String(remainingMs)],
+      ],
+      bodyOf: call.bodyOf,
+      timeoutMs: remainingMs + HOST_TIMEOUT_MARGIN_MS,
+      maxAnswer: call.route.maxAnswer,
+    });
+  }
+
+  #stop(call: ExitCall, reason: NonNullable<ExitCall['stopReason']>): void {
+    call.stopReason ??= reason;
+    this.#services.outbox.add({ kind: 'cancelBackend', callId: call.callId });
+  }
+
+  #handleAnswered(call: ExitCall, result: ResultOf<'answered'>, nowMs: number): void {
+    if (result.shed) {
+      this.#finish(call, 'shed', nowMs);
+      this.refuse(call, this.#createRefusal('overloaded'), nowMs);
+      return;
+    }
+    this.#finish(call, 'answered', nowMs);
+    this.#services.suspects.recordSurvived(call.fingerprint, nowMs);
+    const headers = identity.selectForwardedHeaders(result.headers);
+    const bodyOf = this.#storeAnswer(call, result, headers);
+    const answer = { status: result.status, headers, bodySize: result.bodySize, bodyOf };
+    call.replyTo.forEach((address) =>
+      this.#replies.answer(address, { ...answer, replayed: false }, call, nowMs),
+    );
+    this.#remove(call, nowMs);
+  }
+
+  #storeAnswer(
+    call: ExitCall,
+    result: ResultOf<'answered'>,
+    headers: readonly HeaderPair[],
+  ): string {
+    const { once } = call;
+    if (once === undefined) {
+      return call.callId;
+    }
+    const { status, bodySize } = result;
+    const bodyOf = bodySize > 0 ? `once ${once.id}` : '';
+    const stored = this.#services.once.recordAnswer(once.id, { status, headers, bodySize, bodyOf });
+    if (stored === 'notKept' || bodyOf === '') {
+      return call.callId;
+    }
+    this.#services.outbox.add({ kind: 'keepBody', from: call.callId, to: bodyOf });
+    return bodyOf;
+  }
+
+  #handleNotSent(call: ExitCall, nowMs: number): void {
+    this.#finish(call, 'failed', nowMs);
+    this.apply(this.#services.admission.setBackend('down', nowMs), nowMs);
+    this.refuse(call, this.#createRefusal('noBackend'), nowMs);
+  }
+
+  /** The backend server may have died of this call: the fingerprint becomes a suspect in the whole service. */
+  #handleBroken(call: ExitCall, nowMs: number): void {
+    this.#finish(call, 'failed', nowMs);
+    if (call.stopReason === undefined) {
+      this.#reportCrash(call, nowMs);
+    }
+    this.#endUnknown(call, 'backendFailed', nowMs);
+  }
+
+  #handleAnswerTooLarge(call: ExitCall, nowMs: number): void {
+    this.#finish(call, 'answered', nowMs);
+    this.#endUnknown(call, 'answerTooLarge', nowMs);
+  }
+
+  #handleCancelled(call: ExitCall, nowMs: number): void {
+    this.#finish(call, 'cancelled', nowMs);
+    this.#endUnknown(call, STOP_REASONS[call.stopReason ?? 'cancelled'], nowMs);
+  }
+
+  #reportCrash(call: ExitCall, nowMs: number): void {
+    const { suspects, membership, outbox, self, counters } = this.#services;
+    counters.count('crashesSuspected');
+    suspects.recordCrash([call.fingerprint], nowMs);
+    const fields = { service: self.service, fingerprints: [call.fingerprint] };
+    membership
+      .findService(self.service)
+      .filter((vm) => vm.name !== self.name)
+      .slice(0, CRASH_REPORT_PEERS)
+      .forEach((vm) => {
+        const value = create(CrashReportSchema, fields);
+        outbox.sendRequest(vm.name, { case: 'crashReport', value });
+      });
+  }
+
+  #endUnknown(call: ExitCall, reason: RefusalReason, nowMs: number): void {
+    if (call.once !== undefined) {
+      this.#services.once.recordUnknown(call.once.id);
+    }
+    this.#end(call, createRefusal(reason), nowMs);
+  }
+
+  #finish(call: ExitCall, end: AdmissionEnd, nowMs: number): void {
+    this.apply(this.#services.admission.finish(call.callId, end, nowMs), nowMs);
+  }
+
+  #end(call: ExitCall, refusal: Refusal, nowMs: number): void {
+    call.replyTo.forEach((address) => this.#replies.refuse(address, refusal, call, nowMs));
+    this.#remove(call, nowMs);
+  }
+
+  #remove(call: ExitCall, nowMs: number): void {
+    this.#table.remove(call);
+    const { outbox } = this.#services;
+    outbox.add({ kind: 'releaseBody', bodyOf: call.bodyOf });
+    outbox.add({ kind: 'releaseBody', bodyOf: call.callId });
+    this.#cancelChildren([...call.children], nowMs);
+  }
+
+  #createRefusal(reason: RefusalReason): Refusal {
+    const retryAfterMs = computeRetryAfter(RETRY_AFTER_MS, this.#services.random);
+    return createRefusal(reason, { retryAfterMs });
+  }
+}
--- /dev/null
+++ b/packages/core/src/request/calls/EntryAttempts.ts
@@ -0,0 +1,264 @@
+import type { Answer, Refused } from '@tanagerpond/wire';
+import type { NodeServices } from '../../process/node/NodeServices.js';
+import { createRefusal, REFUSALS, type Refusal, type RefusalReason } from '../refusals.js';
+import type { AttemptSender } from './AttemptSender.js';
+import { decideRetry } from './decideRetry.js';
+import type { Attempt, EntryCall } from './EntryCall.js';
+import type { EntryCloser } from './EntryCloser.js';
+import type { EntryTable } from './EntryTable.js';
+import { fromWireOutcome } from './fromWireOutcome.js';
+import type { TicketRequests } from './TicketRequests.js';
+
+/** Parts that attempts work with. */
+export interface AttemptParts {
+  readonly table: EntryTable;
+  readonly sender: AttemptSender;
+  readonly closer: EntryCloser;
+  readonly ticketRequests: TicketRequests;
+}
+
+/** Sends attempts and handles how they end: by an answer, a refusal, or the loss of the link. */
+export class EntryAttempts {
+  readonly #services: NodeServices;
+
+  readonly #table: EntryTable;
+
+  readonly #sender: AttemptSender;
+
+  readonly #closer: EntryCloser;
+
+  readonly #ticketRequests: TicketRequests;
+
+  /**
+   * @param services - What the call tables share.
+   * @param parts - Calls that this node started, and what sends, ends and tickets them.
+   */
+  constructor(services: NodeServices, parts: AttemptParts) {
+    this.#services = services;
+    this.#table = parts.table;
+    this.#sender = parts.sender;
+    this.#closer = parts.closer;
+    this.#ticketRequests = parts.ticketRequests;
+  }
+
+  /**
+   * Sends an attempt, or refuses the call when no VM can take it.
+   * @param call - Call to attempt.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  send(call: EntryCall, nowMs: number): void {
+    const refusal = this.#sender.send(call, nowMs);
+    if (refusal !== undefined) {
+      this.#refuse(call, refusal);
+    }
+  }
+
+  /**
+   * Refuses a call with a ticket only after the ticket's VM has proved that it did not run.
+   * @param call - Call to refuse.
+   * @param refusal - Why this node refuses it.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  refuseWithProof(call: EntryCall, refusal: Refusal, nowMs: number): void {
+    if (call.once?.kind !== 'ticket') {
+      this.#closer.refuse(call, refusal);
+      return;
+    }
+    call.pendingRefusal = refusal;
+    this.send(call, nowMs);
+  }
+
+  /**
+   * Handles an answer. One that belongs to no present attempt of this peer is dropped and counted.
+   * @param peer - VM that answered.
+   * @param answer - The answer; its body is complete.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  receiveAnswer(peer: string, answer: Answer, nowMs: number): void {
+    const found = this.#takeAttempt(peer, answer.callId);
+    if (found === undefined) {
+      this.#services.outbox.add({ kind: 'releaseBody', bodyOf: answer.callId });
+      return;
+    }
+    const { call, attempt } = found;
+    const { router, retryRatio, pressure } = this.#services;
+    const latencyMs = nowMs - attempt.sentMs;
+    router.recordOutcome(peer, { kind: 'answered', latencyMs, load: answer.load }, nowMs);
+    retryRatio.recordSuccess(call.route.service, nowMs);
+    pressure.record(answer.levels, nowMs);
+    this.#closer.recordTouched(call, answer.levels);
+    call.allowance.settleChild(attempt.granted, answer.unspentAllowance);
+    this.#closer.answer(call, answer);
+  }
+
+  /**
+   * Handles a refusal by the VM of an attempt.
+   * @param peer - VM that refused.
+   * @param refused - The refusal.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  receiveRefused(peer: string, refused: Refused, nowMs: number): void {
+    const found = this.#takeAttempt(peer, refused.callId);
+    if (found === undefined) {
+      return;
+    }
+    const { call, attempt } = found;
+    const refusal = readRefusal(refused);
+    const kind = refusal.outcome === 'notRun' ? 'refused' : 'failed';
+    const latencyMs = nowMs - attempt.sentMs;
+    this.#services.router.recordOutcome(peer, { kind, latencyMs, load: refused.load }, nowMs);
+    this.#services.pressure.record(refused.levels, nowMs);
+    this.#closer.recordTouched(call, refused.levels);
+    call.allowance.settleChild(attempt.granted, refused.unspentAllowance);
+    if (refusal.reason === 'ticketRequired' && call.once?.kind === 'ticket') {
+      this.#replaceTicket(call, nowMs);
+      return;
+    }
+    this.#endAttempt(call, strengthen(call, refusal), nowMs);
+  }
+
+  /**
+   * Handles the loss of the stream on which attempts were sent.
+   * @param peer - VM at the other end.
+   * @param incarnation - Incarnation at the other end.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  recordLinkDown(peer: string, incarnation: string, nowMs: number): void {
+    this.#listAttemptsAt(peer).forEach((call) => this.#loseAttempt(call, incarnation, nowMs));
+  }
+
+  /**
+   * Handles a link that could not be opened: nothing queued for it was sent.
+   * @param peer - VM that could not be reached.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  recordLinkFailed(peer: string, nowMs: number): void {
+    this.#listAttemptsAt(peer).forEach((call) => {
+      this.#dropAttempt(call, nowMs);
+      const notRun = createRefusal('vmUnknown', { detail: 'link could not be opened' });
+      const refusal: Refusal = isBound(call) ? createRefusal('linkLost') : notRun;
+      this.#endAttempt(call, refusal, nowMs);
+    });
+  }
+
+  /**
+   * Notes the incarnation that queued attempts are sent to.
+   * @param peer - VM at the other end.
+   * @param incarnation - Incarnation at the other end.
+   */
+  recordLinkUp(peer: string, incarnation: string): void {
+    this.#listAttemptsAt(peer).forEach((call) => {
+      if (call.attempt !== undefined && call.attempt.incarnation === undefined) {
+        call.attempt.incarnation = incarnation;
+      }
+    });
+  }
+
+  /** The ticket was made void by an earlier refusal, so that the caller needs another one. */
+  #replaceTicket(call: EntryCall, nowMs: number): void {
+    delete call.once;
+    delete call.pendingRefusal;
+    call.tried.clear();
+    this.#ticketRequests.send(call, nowMs);
+  }
+
+  #loseAttempt(call: EntryCall, incarnation: string, nowMs: number): void {
+    const { attempt } = call;
+    this.#dropAttempt(call, nowMs);
+    call.mayHaveRun = true;
+    const canRepeat = call.once !== undefined && nowMs < call.context.deadlineMs;
+    if (attempt !== undefined && canRepeat && this.#takeRetry(call, nowMs)) {
+      this.#services.counters.count('repeats');
+      this.#sender.repeat(call, attempt.vm, attempt.incarnation ?? incarnation, nowMs);
+      return;
+    }
+    this.#endAttempt(call, createRefusal('linkLost'), nowMs);
+  }
+
+  #endAttempt(call: EntryCall, refusal: Refusal, nowMs: number): void {
+    if (call.pendingRefusal !== undefined) {
+      this.#refuse(call, refusal);
+      return;
+    }
+    call.mayHaveRun ||= refusal.outcome !== 'notRun';
+    const decision = decideRetry(call, refusal.reason, refusal.outcome, nowMs);
+    if (decision === 'refuse' || (decision === 'retry' && !this.#takeRetry(call, nowMs))) {
+      this.#refuse(call, refusal);
+      return;
+    }
+    call.redirects += decision === 'redirect' ? 1 : 0;
+    this.#services.counters.count(decision === 'redirect' ? 'redirects' : 'retries');
+    const failure = this.#sender.send(call, nowMs);
+    if (failure !== undefined) {
+      this.#refuse(call, refusal);
+    }
+  }
+
+  #takeRetry(call: EntryCall, nowMs: number): boolean {
+    return (
+      call.allowance.remaining > 0 &&
+      this.#services.retryRatio.tryTake(call.route.service, nowMs) &&
+      call.allowance.tryTake()
+    );
+  }
+
+  #refuse(call: EntryCall, refusal: Refusal): void {
+    const { pendingRefusal } = call;
+    if (pendingRefusal === undefined) {
+      this.#closer.refuse(call, refusal);
+      return;
+    }
+    const isProved = refusal.reason === pendingRefusal.reason && refusal.outcome === 'notRun';
+    this.#closer.refuse(
+      call,
+      isProved ? pendingRefusal : { ...pendingRefusal, outcome: 'unknown' },
+    );
+  }
+
+  #takeAttempt(peer: string, callId: string): { call: EntryCall; attempt: Attempt } | undefined {
+    const call = this.#table.findByAttempt(callId);
+    const attempt = call?.attempt;
+    if (call === undefined || attempt === undefined || attempt.vm !== peer) {
+      this.#services.counters.count('answersDropped');
+      return undefined;
+    }
+    this.#table.removeAttempt(callId);
+    return { call, attempt };
+  }
+
+  #dropAttempt(call: EntryCall, nowMs: number): void {
+    const { attempt } = call;
+    if (attempt === undefined) {
+      return;
+    }
+    this.#table.removeAttempt(attempt.callId);
+    const latencyMs = nowMs - attempt.sentMs;
+    this.#services.router.recordOutcome(attempt.vm, { kind: 'failed', latencyMs }, nowMs);
+  }
+
+  #listAttemptsAt(peer: string): readonly EntryCall[] {
+    return this.#table
+      .list()
+      .filter((call) => call.state === 'attempting' && call.attempt?.vm === peer);
+  }
+}
+
+function readRefusal(refused: Refused): Refusal {
+  const reason = refused.reason in REFUSALS ? (refused.reason as RefusalReason) : 'backendFailed';
+  const outcome = fromWireOutcome(refused.outcome);
+  return refused.retryAfterMs > 0
+    ? createRefusal(reason, { outcome, retryAfterMs: refused.retryAfterMs })
+    : createRefusal(reason, { outcome });
+}
+
+/** A new incarnation cannot have run a call of this node that was never sent to an earlier one. */
+function strengthen(call: EntryCall, refusal: Refusal): Refusal {
+  const isFirst = call.once?.kind === 'own' && !call.mayHaveRun;
+  return isFirst && refusal.reason === 'incarnationGone'
+    ? createRefusal('vmUnknown', { detail: 'incarnation' })
+    : refusal;
+}
+
+function isBound(call: EntryCall): boolean {
+  return call.once?.kind === 'ticket' || call.mayHaveRun;
+}
--- /dev/null
+++ b/packages/core/src/request/calls/EntryCloser.ts
@@ -0,0 +1,135 @@
+import { create } from '@bufbuild/protobuf';
+import { CancelCallSchema, type Answer } from '@tanagerpond/wire';
+import type { HeaderPair } from '../../process/node/NodeMessage.js';
+import type { NodeServices } from '../../process/node/NodeServices.js';
+import type { Refusal } from '../refusals.js';
+import type { EntryCall } from './EntryCall.js';
+import type { EntryTable } from './EntryTable.js';
+import type { ExitCall } from './ExitCall.js';
+import type { ExitTable } from './ExitTable.js';
+
+/** Ends entry calls: answers or refuses the requester and returns what the parent gave. */
+export class EntryCloser {
+  readonly #services: NodeServices;
+
+  readonly #table: EntryTable;
+
+  readonly #exits: ExitTable;
+
+  /**
+   * @param services - What the call tables share.
+   * @param table - Calls that this node started.
+   * @param exits - Calls of the own backend server, the parents of outgoing calls.
+   */
+  constructor(services: NodeServices, table: EntryTable, exits: ExitTable) {
+    this.#services = services;
+    this.#table = table;
+    this.#exits = exits;
+  }
+
+  /**
+   * Answers the requester with a whole answer.
+   * @param call - Call that was answered.
+   * @param answer - Frame of the answer; its body is kept under the attempt's id.
+   */
+  answer(call: EntryCall, answer: Answer): void {
+    const { outbox, counters } = this.#services;
+    counters.count('answered');
+    outbox.add({
+      kind: 'answerRequester',
+      requestId: call.requestId,
+      status: answer.status,
+      headers: [
+        ...answer.headers.map(({ name, value }): HeaderPair => [name, value]),
+        ['tanagerpond-outcome', 'complete'],
+        ['tanagerpond-root', call.context.rootId],
+      ],
+      bodyOf: answer.bodySize > 0 ? answer.callId : '',
+    });
+    outbox.add({ kind: 'releaseBody', bodyOf: answer.callId });
+    this.#close(call);
+  }
+
+  /**
+   * Refuses the requester. Says "unknown" in place of "not run" when an earlier attempt may have run.
+   * @param call - Call that is refused.
+   * @param refusal - Reason and outcome of the last attempt.
+   * @param headers - Headers besides those that follow from the refusal.
+   */
+  refuse(call: EntryCall, refusal: Refusal, headers: readonly HeaderPair[] = []): void {
+    const isDoubtful = call.mayHaveRun && refusal.outcome === 'notRun';
+    this.refuseRequest(call.requestId, isDoubtful ? { ...refusal, outcome: 'unknown' } : refusal, [
+      ...headers,
+      ['tanagerpond-root', call.context.rootId],
+    ]);
+    this.#close(call);
+  }
+
+  /**
+   * Refuses a request for which no call was created.
+   * @param requestId - Request to refuse.
+   * @param refusal - Reason and outcome.
+   * @param headers - Headers besides those that follow from the refusal.
+   */
+  refuseRequest(requestId: string, refusal: Refusal, headers: readonly HeaderPair[] = []): void {
+    const { outbox, counters } = this.#services;
+    counters.count(`refused.${refusal.reason}`);
+    outbox.add({ kind: 'refuseRequester', requestId, refusal, headers });
+  }
+
+  /**
+   * Ends a call whose requester is gone.
+   * @param call - Call to end; its attempt, if any, is cancelled.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  abandon(call: EntryCall, nowMs: number): void {
+    this.#services.counters.count('abandoned');
+    this.cancelAttempt(call, nowMs);
+    this.#close(call);
+  }
+
+  /**
+   * Tells the VM of the present attempt that nobody waits for it any more.
+   * @param call - Call with an attempt under way.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  cancelAttempt(call: EntryCall, nowMs: number): void {
+    const { attempt } = call;
+    if (attempt === undefined || call.state !== 'attempting') {
+      return;
+    }
+    const { outbox, router } = this.#services;
+    const latencyMs = nowMs - attempt.sentMs;
+    router.recordOutcome(attempt.vm, { kind: 'cancelled', latencyMs }, nowMs);
+    outbox.sendRequest(attempt.vm, {
+      case: 'cancelCall',
+      value: create(CancelCallSchema, { callId: attempt.callId }),
+    });
+  }
+
+  /**
+   * Notes at the parent which services a call and its subtree touched.
+   * @param call - Call that was answered or refused.
+   * @param levels - Levels that came back.
+   */
+  recordTouched(call: EntryCall, levels: Answer['levels']): void {
+    const parent = this.#findParent(call);
+    levels.forEach((level) => parent?.touched.add(level.service));
+  }
+
+  #findParent(call: EntryCall): ExitCall | undefined {
+    return call.parentCallId === undefined ? undefined : this.#exits.find(call.parentCallId);
+  }
+
+  #close(call: EntryCall): void {
+    this.#table.remove(call);
+    this.#services.shares.cancel(call.requestId);
+    this.#services.outbox.add({ kind: 'releaseBody', bodyOf: call.requestId });
+    const parent = this.#findParent(call);
+    if (parent === undefined) {
+      return;
+    }
+    parent.children.delete(call.requestId);
+    parent.allowance.settleChild(call.grantedByParent, call.allowance.remaining);
+  }
+}
--- /dev/null
+++ b/packages/core/src/request/calls/ExitReplies.ts
@@ -0,0 +1,98 @@
+import { create } from '@bufbuild/protobuf';
+import { AnswerSchema, RefusedSchema, type AdmissionLevel as LevelFrame } from '@tanagerpond/wire';
+import { createLevelFrame } from './createLevelFrame.js';
+import type { HeaderPair } from '../../process/node/NodeMessage.js';
+import type { NodeServices } from '../../process/node/NodeServices.js';
+import type { StoredAnswer } from '../../process/once/index.js';
+import type { Refusal } from '../refusals.js';
+import type { ExitCall, ReplyAddress } from './ExitCall.js';
+import { toWireOutcome } from './toWireOutcome.js';
+
+/** An answer of the backend server or of the once table. */
+export interface ExitAnswer {
+  readonly status: number;
+  readonly headers: readonly HeaderPair[];
+  readonly bodySize: number;
+  readonly bodyOf: string;
+  readonly replayed: boolean;
+}
+
+/** Sends answers and refusals with the load and the admission levels that ride on them. */
+export class ExitReplies {
+  readonly #services: NodeServices;
+
+  /** @param services - What the call tables share. */
+  constructor(services: NodeServices) {
+    this.#services = services;
+  }
+
+  /**
+   * Sends an answer.
+   * @param address - Who asked.
+   * @param answer - The answer; its body is kept by the host.
+   * @param call - Call that ran; absent when a stored answer is replayed.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  answer(
+    address: ReplyAddress,
+    answer: ExitAnswer,
+    call: ExitCall | undefined,
+    nowMs: number,
+  ): void {
+    const value = create(AnswerSchema, {
+      callId: address.callId,
+      status: answer.status,
+      headers: answer.headers.map(([name, text]) => ({ name, value: text })),
+      bodySize: answer.bodySize,
+      replayed: answer.replayed,
+      unspentAllowance: call?.allowance.remaining ?? 0,
+      load: this.#services.admission.readLoad(),
+      levels: this.#listLevels(call, nowMs),
+    });
+    const bodyOf = answer.bodySize > 0 ? answer.bodyOf : undefined;
+    this.#services.outbox.sendReply(address.peer, { case: 'answer', value }, bodyOf);
+  }
+
+  /**
+   * Replays a stored answer.
+   * @param address - Who asked again.
+   * @param stored - Answer of the one run.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  replay(address: ReplyAddress, stored: StoredAnswer, nowMs: number): void {
+    this.#services.counters.count('replayed');
+    this.answer(address, { ...stored, replayed: true }, undefined, nowMs);
+  }
+
+  /**
+   * Sends a refusal.
+   * @param address - Who asked.
+   * @param refusal - Reason and outcome.
+   * @param call - Call that was refused; absent when none was created.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  refuse(address: ReplyAddress, refusal: Refusal, call: ExitCall | undefined, nowMs: number): void {
+    this.#services.counters.count(`exitRefused.${refusal.reason}`);
+    const value = create(RefusedSchema, {
+      callId: address.callId,
+      reason: refusal.reason,
+      outcome: toWireOutcome(refusal.outcome),
+      retryAfterMs: refusal.retryAfterMs ?? 0,
+      unspentAllowance: call?.allowance.remaining ?? 0,
+      load: this.#services.admission.readLoad(),
+      levels: this.#listLevels(call, nowMs),
+    });
+    this.#services.outbox.sendReply(address.peer, { case: 'refused', value });
+  }
+
+  #listLevels(call: ExitCall | undefined, nowMs: number): LevelFrame[] {
+    const { admission, pressure, self } = this.#services;
+    const own = { service: self.service, ...admission.readLevel(nowMs) };
+    const touched = call?.touched;
+    const deeper =
+      touched === undefined || touched.size === 0
+        ? []
+        : pressure.list(nowMs).filter(({ service }) => touched.has(service));
+    return [own, ...deeper].map((level) => createLevelFrame(level));
+  }
+}
--- /dev/null
+++ b/packages/core/src/request/calls/ExitSide.ts
@@ -0,0 +1,35 @@
+import type { NodeServices } from '../../process/node/NodeServices.js';
+import { BackendRuns } from './BackendRuns.js';
+import { ExitCalls } from './ExitCalls.js';
+import { ExitReplies } from './ExitReplies.js';
+import type { ExitTable } from './ExitTable.js';
+
+/** The calls that a node's backend server runs. */
+export class ExitSide {
+  readonly calls: ExitCalls;
+
+  readonly runs: BackendRuns;
+
+  readonly #table: ExitTable;
+
+  /**
+   * @param services - What the call tables share.
+   * @param table - Calls of the backend server.
+   * @param cancelChildren - Ends outgoing calls of a call that has ended.
+   */
+  constructor(
+    services: NodeServices,
+    table: ExitTable,
+    cancelChildren: (requestIds: readonly string[], nowMs: number) => void,
+  ) {
+    const replies = new ExitReplies(services);
+    this.#table = table;
+    this.runs = new BackendRuns(services, table, replies, cancelChildren);
+    this.calls = new ExitCalls(services, table, replies, this.runs);
+  }
+
+  /** Number of calls that are queued or run. */
+  get size(): number {
+    return this.#table.size;
+  }
+}
--- /dev/null
+++ b/packages/core/src/request/calls/TicketRequests.ts
@@ -0,0 +1,160 @@
+import { create } from '@bufbuild/protobuf';
+import {
+  RefusedSchema,
+  TicketGrantSchema,
+  TicketRequestSchema,
+  type TicketGrant,
+  type TicketRequest,
+} from '@tanagerpond/wire';
+import type { NodeServices } from '../../process/node/NodeServices.js';
+import { computeRetryAfter } from '../computeRetryAfter.js';
+import { createRefusal, type Refusal } from '../refusals.js';
+import type { AttemptSender } from './AttemptSender.js';
+import type { EntryCall } from './EntryCall.js';
+import type { EntryCloser } from './EntryCloser.js';
+import type { EntryTable } from './EntryTable.js';
+import { toWireOutcome } from './toWireOutcome.js';
+
+/** VMs asked for a ticket before the request is refused. */
+const TICKET_TRIES = 3;
+
+/** Time after which a service that gave no ticket is worth another try, in milliseconds. */
+const NO_TICKET_RETRY_MS = 1_000;
+
+/** Gets tickets for callers from the VM that will run the request, and mints them for other nodes. */
+export class TicketRequests {
+  readonly #services: NodeServices;
+
+  readonly #table: EntryTable;
+
+  readonly #sender: AttemptSender;
+
+  readonly #closer: EntryCloser;
+
+  /**
+   * @param services - What the call tables share.
+   * @param table - Calls that this node started.
+   * @param sender - Chooses VMs.
+   * @param closer - Ends calls.
+   */
+  constructor(
+    services: NodeServices,
+    table: EntryTable,
+    sender: AttemptSender,
+    closer: EntryCloser,
+  ) {
+    this.#services = services;
+    this.#table = table;
+    this.#sender = sender;
+    this.#closer = closer;
+  }
+
+  /**
+   * Asks a VM of the service for a ticket.
+   * @param call - Call without a ticket on a route that may not be repeated.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  send(call: EntryCall, nowMs: number): void {
+    const vm = call.tried.size < TICKET_TRIES ? this.#sender.chooseVm(call, nowMs) : undefined;
+    if (vm === undefined) {
+      const retryAfterMs = computeRetryAfter(NO_TICKET_RETRY_MS, this.#services.random);
+      this.#closer.refuse(call, createRefusal('noBackend', { retryAfterMs }));
+      return;
+    }
+    const requestId = this.#sender.createId();
+    call.state = 'waitingForTicket';
+    call.attempt = { callId: requestId, vm, incarnation: undefined, granted: 0, sentMs: nowMs };
+    call.tried.add(vm);
+    this.#table.addAttempt(requestId, call);
+    const { workspace, route } = call.context;
+    const value = create(TicketRequestSchema, { requestId, workspace, route });
+    this.#services.outbox.sendRequest(vm, { case: 'ticketRequest', value });
+  }
+
+  /**
+   * Answers another node's request for a ticket.
+   * @param peer - VM of the node that asks.
+   * @param request - The request.
+   * @param refusal - Why this node gives no ticket, if it gives none.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  answer(peer: string, request: TicketRequest, refusal: Refusal | undefined, nowMs: number): void {
+    const { requestId, workspace, route } = request;
+    const { outbox, tickets } = this.#services;
+    const lifeMs = this.#services.findBundle()?.fleet.ticketLifeMs;
+    if (refusal !== undefined || lifeMs === undefined) {
+      const { reason, outcome } = refusal ?? createRefusal('starting');
+      const value = create(RefusedSchema, {
+        callId: requestId,
+        reason,
+        outcome: toWireOutcome(outcome),
+      });
+      outbox.sendReply(peer, { case: 'refused', value });
+      return;
+    }
+    const ticket = tickets.mint(workspace, route, nowMs + lifeMs);
+    const value = create(TicketGrantSchema, { requestId, ticket, lifeMs });
+    outbox.sendReply(peer, { case: 'ticketGrant', value });
+  }
+
+  /**
+   * Hands a ticket to the caller.
+   * @param peer - VM that granted it.
+   * @param grant - The ticket.
+   */
+  receiveGrant(peer: string, grant: TicketGrant): void {
+    const call = this.#take(peer, grant.requestId);
+    if (call === undefined) {
+      return;
+    }
+    this.#closer.refuse(call, createRefusal('ticketRequired'), [
+      ['tanagerpond-ticket', grant.ticket],
+      ['tanagerpond-ticket-life-ms', String(grant.lifeMs)],
+    ]);
+  }
+
+  /**
+   * Asks another VM after a refusal.
+   * @param peer - VM that refused.
+   * @param requestId - Id of the ticket request.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @returns False when the id names no waiting ticket request of this peer.
+   */
+  receiveRefused(peer: string, requestId: string, nowMs: number): boolean {
+    const call = this.#table.findByAttempt(requestId);
+    if (call?.state !== 'waitingForTicket' || call.attempt?.vm !== peer) {
+      return false;
+    }
+    this.#retry(call, nowMs);
+    return true;
+  }
+
+  /**
+   * Asks other VMs for the tickets that a lost peer was asked for. A lost ticket runs nothing.
+   * @param peer - VM whose link is lost.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  recordLinkLost(peer: string, nowMs: number): void {
+    this.#table
+      .list()
+      .filter((call) => call.state === 'waitingForTicket' && call.attempt?.vm === peer)
+      .forEach((call) => this.#retry(call, nowMs));
+  }
+
+  #retry(call: EntryCall, nowMs: number): void {
+    if (call.attempt !== undefined) {
+      this.#table.removeAttempt(call.attempt.callId);
+    }
+    this.send(call, nowMs);
+  }
+
+  #take(peer: string, requestId: string): EntryCall | undefined {
+    const call = this.#table.findByAttempt(requestId);
+    if (call?.state !== 'waitingForTicket' || call.attempt?.vm !== peer) {
+      this.#services.counters.count('answersDropped');
+      return undefined;
+    }
+    this.#table.removeAttempt(requestId);
+    return call;
+  }
+}
--- /dev/null
+++ b/packages/core/src/request/calls/acceptOpenCall.ts
@@ -0,0 +1,99 @@
+import type { OpenCall } from '@tanagerpond/wire';
+import type { Bundle, Route } from '@tanagerpond/bundle';
+import { Result } from 'true-myth';
+import type { HeaderPair } from '../../process/node/NodeMessage.js';
+import type { NodeServices } from '../../process/node/NodeServices.js';
+import { createRefusal, type Refusal } from '../refusals.js';
+
+/** Margin over the longest deadline for which the record of a backend server's own call lasts, in milliseconds. */
+const OWN_RECORD_MARGIN_MS = 60_000;
+
+/** Identity and digest under which a call runs at most once. */
+export interface OnceKey {
+  readonly id: string;
+  readonly digest: string;
+  readonly expiryMs: number;
+}
+
+/** A frame that starts a call, after every check that needs no table. */
+export interface AcceptedCall {
+  readonly route: Route;
+  readonly fingerprint: string;
+  readonly headers: readonly HeaderPair[];
+  readonly once?: OnceKey;
+}
+
+/**
+ * Checks a frame that starts a call: route, service, and for calls that run at most once the ticket or id and the
+ * incarnation.
+ * @param services - What the call tables share.
+ * @param bundle - Bundle in force.
+ * @param frame - Frame of a peer.
+ * @param nowMs - Monotonic time, in milliseconds.
+ */
+export function acceptOpenCall(
+  services: NodeServices,
+  bundle: Bundle,
+  frame: OpenCall,
+  nowMs: number,
+): Result<AcceptedCall, Refusal> {
+  const route = bundle.routes.get(frame.context?.route ?? '');
+  if (route === undefined) {
+    return Result.err(
+      createRefusal('routeUnknown', { detail: `bundle version ${bundle.version}` }),
+    );
+  }
+  if (route.service !== services.self.service) {
+    return Result.err(createRefusal('vmUnknown', { detail: 'service' }));
+  }
+  const digest = describeRequest(frame);
+  const accepted = {
+    route,
+    fingerprint: `${route.name} ${digest}`,
+    headers: frame.headers.map(({ name, value }): HeaderPair => [name, value]),
+  };
+  if (route.repeatable) {
+    return Result.ok(accepted);
+  }
+  return readOnceKey(services, bundle, frame, digest, nowMs).map((once) => ({ ...accepted, once }));
+}
+
+function readOnceKey(
+  services: NodeServices,
+  bundle: Bundle,
+  frame: OpenCall,
+  digest: string,
+  nowMs: number,
+): Result<OnceKey, Refusal> {
+  const { targetIncarnation } = frame;
+  if (targetIncarnation !== '' && targetIncarnation !== services.self.incarnation) {
+    return Result.err(createRefusal('incarnationGone'));
+  }
+  if (frame.ticket !== '') {
+    return readTicketKey(services, frame, digest, nowMs);
+  }
+  if (frame.onceId === '') {
+    return Result.err(createRefusal('ticketRequired'));
+  }
+  const expiryMs = nowMs + bundle.fleet.maxDeadlineMs + OWN_RECORD_MARGIN_MS;
+  return Result.ok({ id: `own ${frame.onceId}`, digest, expiryMs });
+}
+
+function readTicketKey(
+  services: NodeServices,
+  frame: OpenCall,
+  digest: string,
+  nowMs: number,
+): Result<OnceKey, Refusal> {
+  const { workspace = '', route = '' } = frame.context ?? {};
+  const check = services.tickets.check(frame.ticket, workspace, route, nowMs);
+  if (check.kind === 'valid') {
+    const { id, expiryMs } = check.ticket;
+    return Result.ok({ id: `ticket ${id}`, digest, expiryMs });
+  }
+  return Result.err(createRefusal(check.kind === 'expired' ? 'ticketExpired' : 'ticketInvalid'));
+}
+
+function describeRequest(frame: OpenCall): string {
+  return `${frame.method} ${frame.target} ${Buffer.from(frame.bodyDigest).toString('hex')}`;
+}
--- /dev/null
+++ b/packages/core/src/request/calls/admitCaller.ts
@@ -0,0 +1,91 @@
+import { matchRoute, type Bundle, type Route } from '@tanagerpond/bundle';
+import { Result } from 'true-myth';
+import type { ArrivedRequest, HeaderPair } from '../../process/node/NodeMessage.js';
+import { parseTicket } from '../../process/once/index.js';
+import * as identity from '../identity/index.js';
+import { createRefusal, type Refusal } from '../refusals.js';
+import type { OnceIdentity } from './EntryCall.js';
+
+const TICKET_HEADER = 'tanagerpond-ticket';
+
+/** A caller's request after every check that needs only the bundle in force. */
+export interface AdmittedRequest {
+  readonly route: Route;
+  /** Path and query below the service segment. */
+  readonly target: string;
+  readonly headers: readonly HeaderPair[];
+  readonly workspace: string;
+  readonly keyDigest?: string;
+  /** Time until the deadline, in milliseconds. */
+  readonly remainingMs: number;
+  readonly once?: OnceIdentity;
+}
+
+/**
+ * Checks a caller's request against the bundle in force: route, key, exposed keys, sizes, deadline and ticket.
+ * @param bundle - Bundle in force.
+ * @param request - Request with its body assembled.
+ * @returns The request as it goes on, or the first refusal found.
+ */
+export function admitCaller(
+  bundle: Bundle,
+  request: ArrivedRequest,
+): Result<AdmittedRequest, Refusal> {
+  const matched = matchRoute(bundle, request.method, request.target);
+  if (matched === undefined) {
+    return Result.err(createRefusal('routeUnknown'));
+  }
+  const { route, backendTarget: target } = matched;
+  const forwarded = identity.selectForwardedHeaders(request.headers);
+  return identity.identifyWorkspace(bundle, request.headers, route).andThen((caller) =>
+    checkContent(request, route, forwarded)
+      .andThen(() => identity.readDeadline(bundle.fleet, request.headers))
+      .andThen((remainingMs) =>
+        readTicket(request, route).map((once) => ({
+          route,
+          target,
+          headers: forwarded,
+          remainingMs,
+          ...caller,
+          ...(once === undefined ? {} : { once }),
+        })),
+      ),
+  );
+}
+
+/**
+ * Checks that a request's body fits its route and that no part holds a key.
+ * @param request - Request with its body assembled.
+ * @param route - Route of the request.
+ * @param forwarded - Headers that would pass on.
+ */
+export function checkContent(
+  request: ArrivedRequest,
+  route: Route,
+  forwarded: readonly HeaderPair[],
+): Result<true, Refusal> {
+  const exposed = identity.findExposedKey(request, forwarded);
+  if (exposed !== undefined) {
+    return Result.err(createRefusal('keyExposed', { detail: exposed }));
+  }
+  if (request.bodySize > route.maxBody) {
+    return Result.err(createRefusal('bodyTooLarge', { detail: `max-body ${route.maxBody}` }));
+  }
+  return Result.ok(true as const);
+}
+
+function readTicket(
+  request: ArrivedRequest,
+  route: Route,
+): Result<OnceIdentity | undefined, Refusal> {
+  const header = identity.readHeader(request.headers, TICKET_HEADER);
+  if (route.repeatable || header.kind === 'absent') {
+    return Result.ok(undefined);
+  }
+  const parsed = header.kind === 'present' ? parseTicket(header.value) : undefined;
+  if (header.kind === 'repeated' || parsed === undefined) {
+    return Result.err(createRefusal('ticketInvalid', { detail: TICKET_HEADER }));
+  }
+  const { vm, incarnation } = parsed.ticket;
+  return Result.ok({ kind: 'ticket', text: header.value, vm, incarnation });
+}
--- /dev/null
+++ b/packages/core/src/request/calls/createLevelFrame.ts
@@ -0,0 +1,21 @@
+import { create } from '@bufbuild/protobuf';
+import {
+  AdmissionLevelSchema,
+  WorkspaceFractionSchema,
+  type AdmissionLevel as LevelFrame,
+} from '@tanagerpond/wire';
+import type { AdmissionLevel } from '../../process/pressure/index.js';
+
+/**
+ * Creates the form in which an admission level travels on answers.
+ * @param level - Level of one service.
+ */
+export function createLevelFrame(level: AdmissionLevel): LevelFrame {
+  const { service, lowestClass, fraction, workspaces = [] } = level;
+  return create(AdmissionLevelSchema, {
+    service,
+    lowestClass,
+    fraction,
+    workspaces: workspaces.map((entry) => create(WorkspaceFractionSchema, entry)),
+  });
+}
--- /dev/null
+++ b/packages/core/src/request/calls/toWireOutcome.ts
@@ -0,0 +1,16 @@
+import { Outcome as WireOutcome } from '@tanagerpond/wire';
+import type { Outcome } from '../refusals.js';
+
+const WIRE_OUTCOMES: Readonly<Record<Outcome, WireOutcome>> = {
+  complete: WireOutcome.COMPLETE,
+  notRun: WireOutcome.NOT_RUN,
+  unknown: WireOutcome.UNKNOWN,
+};
+
+/**
+ * Gives the form of an outcome in a frame.
+ * @param outcome - Outcome to send.
+ */
+export function toWireOutcome(outcome: Outcome): WireOutcome {
+  return WIRE_OUTCOMES[outcome];
+}
--- /dev/null
+++ b/packages/core/src/request/identity/identifyWorkspace.ts
@@ -0,0 +1,51 @@
+import { digestKey, type Bundle, type Route } from '@tanagerpond/bundle';
+import { Result } from 'true-myth';
+import type { HeaderPair } from '../../process/node/NodeMessage.js';
+import { createRefusal, type Refusal } from '../refusals.js';
+import { readHeader } from './readHeader.js';
+
+const BEARER = /^bearer +(\S+) *$/i;
+
+/** The workspace that a request runs for. */
+export interface Identity {
+  readonly workspace: string;
+  /** Digest of the key that came with the request; absent for requests without a key on open routes. */
+  readonly keyDigest?: string;
+}
+
+/**
+ * Finds the workspace whose key came with a request, by the bundle in force.
+ * @param bundle - Bundle in force.
+ * @param headers - Headers with lower-case names.
+ * @param route - Route of the request.
+ * @returns The identity, or the refusal `headerMalformed`, `keyMissing` or `keyUnknown`.
+ */
+export function identifyWorkspace(
+  bundle: Bundle,
+  headers: readonly HeaderPair[],
+  route: Route,
+): Result<Identity, Refusal> {
+  const header = readHeader(headers, 'authorization');
+  if (header.kind === 'repeated') {
+    return Result.err(createRefusal('headerMalformed', { detail: 'authorization' }));
+  }
+  if (header.kind === 'absent') {
+    return identifyOpen(bundle, route);
+  }
+  const key = BEARER.exec(header.value)?.[1];
+  if (key === undefined) {
+    return Result.err(createRefusal('headerMalformed', { detail: 'authorization' }));
+  }
+  const keyDigest = digestKey(key);
+  const workspace = bundle.workspaceByKeyDigest.get(keyDigest);
+  return workspace === undefined
+    ? Result.err(createRefusal('keyUnknown'))
+    : Result.ok({ workspace, keyDigest });
+}
+
+function identifyOpen(bundle: Bundle, route: Route): Result<Identity, Refusal> {
+  if (!route.open || bundle.openWorkspace === undefined) {
+    return Result.err(createRefusal('keyMissing', { detail: 'authorization' }));
+  }
+  return Result.ok({ workspace: bundle.openWorkspace });
+}
--- /dev/null
+++ b/packages/core/src/request/identity/index.ts
@@ -0,0 +1,5 @@
+export * from './findExposedKey.js';
+export * from './identifyWorkspace.js';
+export * from './readDeadline.js';
+export * from './readHeader.js';
+export * from './selectForwardedHeaders.js';
--- /dev/null
+++ b/packages/core/src/request/identity/readDeadline.ts
@@ -0,0 +1,32 @@
+import type { Fleet } from '@tanagerpond/bundle';
+import { Result } from 'true-myth';
+import type { HeaderPair } from '../../process/node/NodeMessage.js';
+import { createRefusal, type Refusal } from '../refusals.js';
+import { readHeader } from './readHeader.js';
+
+/** Header in which a caller says how long it waits, in milliseconds. */
+const DEADLINE_HEADER = 'tanagerpond-deadline-ms';
+
+/**
+ * Reads how long a caller waits for its answer.
+ * @param fleet - Limits of the bundle in force.
+ * @param headers - Headers with lower-case names.
+ * @returns Time until the deadline in milliseconds, or the refusal `headerMalformed` or `deadlineExpired`.
+ */
+export function readDeadline(
+  fleet: Fleet,
+  headers: readonly HeaderPair[],
+): Result<number, Refusal> {
+  const header = readHeader(headers, DEADLINE_HEADER);
+  if (header.kind === 'absent') {
+    return Result.ok(fleet.defaultDeadlineMs);
+  }
+  if (header.kind === 'repeated' || !/^-?\d{1,9}$/.test(header.value)) {
+    return Result.err(createRefusal('headerMalformed', { detail: DEADLINE_HEADER }));
+  }
+  const remainingMs = Number(header.value);
+  if (remainingMs <= 0) {
+    return Result.err(createRefusal('deadlineExpired', { detail: DEADLINE_HEADER }));
+  }
+  return Result.ok(Math.min(remainingMs, fleet.maxDeadlineMs));
+}
--- /dev/null
+++ b/packages/core/test/process/node/FakeNode.ts
@@ -0,0 +1,243 @@
+import {
+  NodeMachine,
+  type NodeCommand,
+  type NodeMessage,
+} from '../../../src/process/node/index.js';
+import type { VmIdentity } from '../../../src/process/membership/index.js';
+import type { RandomSource } from '../../../src/process/time/index.js';
+import type { EventQueue } from './EventQueue.js';
+import { FakeBackend, type RunRecord } from './FakeBackend.js';
+import type { FakeLinks, FakePeer } from './FakeLinks.js';
+
+const TICK_MS = 50;
+
+/** How a request ended, as its sender sees it. */
+export type RequestEnd =
+  | { readonly kind: 'answered'; readonly status: number; readonly body: string }
+  | {
+      readonly kind: 'refused';
+      readonly reason: string;
+      readonly outcome: string;
+      readonly ticket: string | undefined;
+    }
+  /** The node died or stopped before it answered. */
+  | { readonly kind: 'lost' };
+
+/** What a node of a session needs. */
+export interface FakeNodeOptions {
+  readonly identity: VmIdentity;
+  readonly events: EventQueue;
+  readonly links: FakeLinks;
+  readonly random: RandomSource;
+  readonly runs: RunRecord[];
+  readonly observe?: (vm: string, message: NodeMessage, commands: readonly NodeCommand[]) => void;
+}
+
+/** A node machine with a fake host: bodies, backend server, requesters and ticks on a fake clock. */
+export class FakeNode implements FakePeer {
+  readonly name: string;
+
+  readonly incarnation: string;
+
+  readonly faults: string[] = [];
+
+  readonly backend: FakeBackend;
+
+  readonly #options: FakeNodeOptions;
+
+  readonly #machine: NodeMachine;
+
+  readonly #bodies = new Map<string, string>();
+
+  readonly #requesters = new Map<string, (end: RequestEnd) => void>();
+
+  readonly #stopped: (() => void)[] = [];
+
+  #isFrozen = false;
+
+  #isAlive = true;
+
+  #requestCount = 0;
+
+  constructor(options: FakeNodeOptions) {
+    const { identity, events, random, runs } = options;
+    this.name = identity.name;
+    this.incarnation = identity.incarnation;
+    this.#options = options;
+    this.#machine = new NodeMachine({
+      self: identity,
+      random,
+      trustedKeys: [],
+      startedMs: events.nowMs,
+      drainLimitMs: 5_000,
+      createToken: () => `token-${identity.incarnation}-${Math.floor(random.next() * 1e12)}`,
+      ticketSecret: Buffer.from(identity.incarnation),
+    });
+    this.backend = new FakeBackend({ node: this, events, random, runs });
+    this.#tick();
+  }
+
+  isAlive(): boolean {
+    return this.#isAlive;
+  }
+
+  isFrozen(): boolean {
+    return this.#isFrozen;
+  }
+
+  /** Ends the process at once. */
+  kill(): void {
+    this.#isAlive = false;
+    this.#options.links.breakAll(this);
+    this.#requesters.forEach((end) => end({ kind: 'lost' }));
+  }
+
+  /** Stops the process without ending it; peers see silence after 3 s. */
+  freeze(): void {
+    this.#isFrozen = true;
+    this.#options.events.schedule(3_000, () => {
+      if (this.#isFrozen) {
+        this.#options.links.breakAll(this);
+      }
+    });
+  }
+
+  /** Lets a stopped process go on; it handles what has come in since. */
+  resume(): void {
+    this.#isFrozen = false;
+    this.#stopped.splice(0).forEach((run) => run());
+  }
+
+  /** Takes a request of a caller or, with a token, of the own backend server. */
+  request(
+    target: string,
+    method: string,
+    headers: readonly (readonly [string, string])[],
+    callToken: string | undefined,
+    end: (end: RequestEnd) => void,
+  ): void {
+    if (!this.#isAlive) {
+      end({ kind: 'lost' });
+      return;
+    }
+    this.#requestCount += 1;
+    const requestId = `r${this.#requestCount}`;
+    this.#requesters.set(requestId, end);
+    const request = {
+      requestId,
+      method,
+      target,
+      headers,
+      bodySize: 0,
+      bodyDigest: '',
+      bodyHasKey: false,
+    };
+    this.receive(
+      callToken === undefined
+        ? { kind: 'callerRequest', request }
+        : { kind: 'egressRequest', request, callToken },
+    );
+  }
+
+  receive(message: NodeMessage, body?: string): void {
+    if (!this.#isAlive) {
+      return;
+    }
+    if (this.#isFrozen) {
+      this.#stopped.push(() => this.receive(message, body));
+      return;
+    }
+    this.#keepFrameBody(message, body);
+    const commands = this.#machine.handle(message, this.#options.events.nowMs);
+    this.#options.observe?.(this.name, message, commands);
+    commands.forEach((command) => this.#carryOut(command));
+  }
+
+  /** Keeps an answer of the backend server under its call id and reports it. */
+  receiveAnswer(callId: string, status: number, body: string): void {
+    this.#bodies.set(callId, body);
+    const result = {
+      kind: 'answered',
+      status,
+      headers: [],
+      bodySize: body.length,
+      shed: status === 503,
+    } as const;
+    this.receive({ kind: 'backendResult', callId, result });
+  }
+
+  #keepFrameBody(message: NodeMessage, body: string | undefined): void {
+    const frame = message.kind === 'peerFrame' ? message.frame.body : undefined;
+    if (body !== undefined && (frame?.case === 'answer' || frame?.case === 'openCall')) {
+      this.#bodies.set(frame.value.callId, body);
+    }
+  }
+
+  #carryOut(command: NodeCommand): void {
+    const { links } = this.#options;
+    switch (command.kind) {
+      case 'sendRequest':
+        links.sendRequest(this, command.peer, command.frame, this.#readBody(command.bodyOf));
+        break;
+      case 'sendReply':
+        links.sendReply(this, command.peer, command.frame, this.#readBody(command.bodyOf));
+        break;
+      case 'callBackend':
+        this.backend.run(command);
+        break;
+      case 'cancelBackend':
+        this.backend.cancel(command.callId);
+        break;
+      case 'answerRequester': {
+        const body = this.#readBody(command.bodyOf) ?? '';
+        this.#end(command.requestId, { kind: 'answered', status: command.status, body });
+        break;
+      }
+      case 'refuseRequester': {
+        const { reason, outcome } = command.refusal;
+        const ticket = command.headers.find(([name]) => name === 'tanagerpond-ticket')?.[1];
+        this.#end(command.requestId, { kind: 'refused', reason, outcome, ticket });
+        break;
+      }
+      case 'keepBody':
+        this.#bodies.set(command.to, this.#readBody(command.from) ?? '');
+        break;
+      case 'releaseBody':
+        this.#bodies.delete(command.bodyOf);
+        break;
+      default:
+        break;
+    }
+  }
+
+  #readBody(name: string | undefined): string | undefined {
+    if (name === undefined || name === '') {
+      return undefined;
+    }
+    const body = this.#bodies.get(name);
+    if (body === undefined) {
+      this.faults.push(`${this.name}: body ${name} is not kept`);
+    }
+    return body;
+  }
+
+  #end(requestId: string, end: RequestEnd): void {
+    const requester = this.#requesters.get(requestId);
+    if (requester === undefined) {
+      this.faults.push(`${this.name}: request ${requestId} ended twice`);
+      return;
+    }
+    this.#requesters.delete(requestId);
+    requester(end);
+  }
+
+  #tick(): void {
+    if (!this.#isAlive) {
+      return;
+    }
+    if (!this.#isFrozen) {
+      this.receive({ kind: 'tick' });
+    }
+    this.#options.events.schedule(TICK_MS, () => this.#tick());
+  }
+}
