--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -18,6 +18,11 @@
       'import-x/extensions': ['error', 'ignorePackages', { js: 'always', ts: 'never' }],
       'import-x/prefer-default-export': 'off',
       'no-await-in-loop': 'off',
+      // The packages name the compiled files as their binaries.
+      'n/hashbang': [
+        'error',
+        { convertPath: { 'src/**/*.ts': ['^src/(.+)\\.ts$', 'dist/$1.js'] } },
+      ],
       'no-plusplus': ['error', { allowForLoopAfterthoughts: true }],
       'no-void': ['error', { allowAsStatement: true }],
       '@typescript-eslint/no-use-before-define': [
--- /dev/null
+++ b/packages/node/src/bin/runNode.ts
@@ -0,0 +1,65 @@
+import { performance } from 'node:perf_hooks';
+import { cac } from 'cac';
+import { StartingDecisions } from '../process/decisions/index.js';
+import { NodeProcess } from '../process/host/index.js';
+import { createLogger } from '../process/log/index.js';
+import { loadSettings } from '../process/settings/index.js';
+import type { Settings } from '../process/settings/index.js';
+
+/** Exit code of a settings file or a command line that cannot be used. */
+const EXIT_USAGE = 2;
+
+/** Exit code of a listener that cannot be opened. */
+const EXIT_START = 1;
+
+/**
+ * Runs the command line of the node.
+ * @param argv - Arguments, with the program and the script first.
+ * @returns The exit code, once the process may end.
+ */
+export async function runNode(argv: readonly string[]): Promise<number> {
+  const cli = cac('tanagerpond-node');
+  cli.option('--settings <file>', 'Settings file (INI)');
+  cli.option('--check', 'Check the settings and exit');
+  cli.help();
+  const { options } = cli.parse([...argv], { run: false });
+  if (options.help === true) {
+    return 0;
+  }
+  if (typeof options.settings !== 'string') {
+    process.stderr.write('settings: expected --settings FILE\n');
+    return EXIT_USAGE;
+  }
+  const loaded = await loadSettings(options.settings);
+  if (loaded.isErr) {
+    process.stderr.write(`${loaded.error.message.replace(/^/gm, 'settings: ')}\n`);
+    return EXIT_USAGE;
+  }
+  return options.check === true ? 0 : runProcess(loaded.value);
+}
+
+async function runProcess(settings: Settings): Promise<number> {
+  const log = createLogger({
+    level: settings.log.level,
+    stream: process.stderr,
+    now: () => performance.now(),
+  });
+  await using host = new NodeProcess({
+    settings,
+    log,
+    createDecisions: () => new StartingDecisions(),
+  });
+  process.once('SIGTERM', () => host.drain());
+  process.once('SIGINT', () => host.drain());
+  try {
+    const addresses = await host.start();
+    process.stdout.write(`${JSON.stringify({ ready: true, addresses })}\n`);
+  } catch (error) {
+    const text = error instanceof Error ? error.message : String(error);
+    log.write('error', 'settings', 'listener could not be opened', { error: text });
+    return EXIT_START;
+  }
+  await host.waitDrained();
+  log.write('info', 'drain', 'drained');
+  return 0;
+}
--- /dev/null
+++ b/packages/node/src/connection/PeerLink.ts
@@ -0,0 +1,197 @@
+import type { Frame, Hello } from '@tanagerpond/wire';
+import type { BodyStore, HeldBody } from '../process/bodies/index.js';
+import type { Counters } from '../process/metrics/index.js';
+import { LinkCalls } from './LinkCalls.js';
+import { LinkStream } from './LinkStream.js';
+import type { FrameStream, LinkEnd } from './LinkStream.js';
+
+/** Stream of encoded frames between two nodes. */
+export interface LinkTransport {
+  readonly stream: FrameStream;
+
+  /** Ends the stream at once and releases its connection. */
+  abort(): void;
+}
+
+/** Options of one link; `now` gives monotonic milliseconds. */
+export interface PeerLinkOptions {
+  readonly transport: LinkTransport;
+  readonly opener: boolean;
+  /** Own `Hello` as a frame. */
+  readonly buildHello: () => Frame;
+  /** Time limit until the `Hello` of the peer, in milliseconds. */
+  readonly helloLimitMs: number;
+  /** Time without calls and frames of the decisions after which the opener closes the link, in milliseconds. */
+  readonly idleMs: number;
+  readonly maxBody: number;
+  readonly store: BodyStore;
+  readonly counters: Counters;
+  readonly now: () => number;
+  /** Checks the `Hello` of the peer; false ends the link. */
+  readonly checkHello: (hello: Hello) => boolean;
+  /** Called when the link is up, with the `Hello` frame of the peer. */
+  readonly onUp: (hello: Hello, frame: Frame) => void;
+  /** Takes a frame whose body is complete. */
+  readonly onFrame: (hello: Hello, frame: Frame) => void;
+  /** Called once; `hello` is undefined when the link never came up, and then nothing queued was sent. */
+  readonly onEnd: (end: LinkEnd, hello: Hello | undefined, unfinished: number) => void;
+}
+
+interface QueuedFrame {
+  readonly frame: Frame;
+  readonly body: HeldBody | undefined;
+}
+
+/** Frames that wait for a link to come up. */
+const QUEUED_FRAMES = 4096;
+
+/** One stream between two nodes, from `Hello` to its end. Frames are sent only after the peer's `Hello`. */
+export class PeerLink {
+  readonly #options: PeerLinkOptions;
+
+  readonly #stream: LinkStream;
+
+  readonly #openedMs: number;
+
+  #queue: QueuedFrame[] = [];
+
+  #hello: Hello | undefined;
+
+  #calls: LinkCalls | undefined;
+
+  #usedMs: number;
+
+  /** @param options - Transport, limits and where the events go. */
+  constructor(options: PeerLinkOptions) {
+    this.#options = options;
+    this.#openedMs = options.now();
+    this.#usedMs = this.#openedMs;
+    this.#stream = new LinkStream({
+      stream: options.transport.stream,
+      abort: () => options.transport.abort(),
+      opener: options.opener,
+      now: options.now,
+      counters: options.counters,
+      onFrame: (frame) => this.#receive(frame),
+      onClose: (end) => this.#end(end),
+    });
+    if (options.opener) {
+      this.#stream.write(options.buildHello());
+    }
+  }
+
+  /** `Hello` of the peer, once the link is up. */
+  get hello(): Hello | undefined {
+    return this.#hello;
+  }
+
+  /** True until the link ends. */
+  get open(): boolean {
+    return this.#stream.open;
+  }
+
+  /** Calls in progress on the link. */
+  get calls(): number {
+    return (this.#calls?.count ?? 0) + this.#queue.length;
+  }
+
+  /**
+   * Sends a frame, or queues it until the link is up.
+   * @param frame - Frame of the decisions.
+   * @param body - Body of the frame; the link releases it.
+   */
+  send(frame: Frame, body?: HeldBody): void {
+    this.#usedMs = this.#options.now();
+    if (!this.#stream.open) {
+      body?.release();
+    } else if (this.#calls !== undefined) {
+      this.#calls.send(frame, body);
+    } else if (this.#queue.length < QUEUED_FRAMES) {
+      this.#queue.push({ frame, body });
+    } else {
+      body?.release();
+      this.close('helloTimeout');
+    }
+  }
+
+  /**
+   * Checks the time limits; to be called every half second or so.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  advance(nowMs: number): void {
+    if (this.#calls === undefined) {
+      if (nowMs - this.#openedMs >= this.#options.helloLimitMs) {
+        this.close('helloTimeout');
+      }
+      return;
+    }
+    this.#calls.advance(nowMs);
+    this.#stream.advance(nowMs);
+    if (this.#calls.count > 0) {
+      this.#usedMs = nowMs;
+    } else if (this.#options.opener && nowMs - this.#usedMs >= this.#options.idleMs) {
+      this.close('idle');
+    }
+  }
+
+  /**
+   * Ends the link.
+   * @param end - Why it ends.
+   */
+  close(end: LinkEnd): void {
+    this.#stream.close(end);
+  }
+
+  #receive(frame: Frame): void {
+    if (this.#hello === undefined) {
+      this.#receiveHello(frame);
+      return;
+    }
+    if (frame.body.case === 'hello') {
+      this.close('protocol');
+      return;
+    }
+    this.#usedMs = this.#options.now();
+    this.#calls?.receive(frame);
+  }
+
+  #receiveHello(frame: Frame): void {
+    if (frame.body.case !== 'hello' || !this.#options.checkHello(frame.body.value)) {
+      this.close('protocol');
+      return;
+    }
+    const hello = frame.body.value;
+    this.#hello = hello;
+    this.#calls = this.#createCalls(hello);
+    if (!this.#options.opener) {
+      this.#stream.write(this.#options.buildHello());
+    }
+    this.#options.onUp(hello, frame);
+    const queue = this.#queue;
+    this.#queue = [];
+    queue.forEach((queued) => this.send(queued.frame, queued.body));
+  }
+
+  #createCalls(hello: Hello): LinkCalls {
+    const { opener, store, maxBody, counters, now, onFrame } = this.#options;
+    return new LinkCalls({
+      peer: hello.vm,
+      opener,
+      store,
+      maxBody,
+      counters,
+      now,
+      write: (frame, done) => this.#stream.write(frame, done),
+      deliver: (frame) => onFrame(hello, frame),
+      fail: () => this.close('protocol'),
+    });
+  }
+
+  #end(end: LinkEnd): void {
+    const unfinished = this.calls;
+    this.#calls?.close();
+    this.#queue.forEach(({ body }) => body?.release());
+    this.#queue = [];
+    this.#options.onEnd(end, this.#hello, unfinished);
+  }
+}
--- /dev/null
+++ b/packages/node/src/process/admin/MetricsPage.ts
@@ -0,0 +1,73 @@
+import { collectDefaultMetrics, Counter, Gauge, Registry } from 'prom-client';
+import type { Latency } from '../metrics/index.js';
+
+/** Sources of the metrics. */
+export interface MetricsSources {
+  readonly readHostCounters: () => Readonly<Record<string, number>>;
+  readonly readDecisionCounters: () => Readonly<Record<string, number>>;
+  readonly readGauges: () => Readonly<Record<string, number>>;
+  readonly latencies: Readonly<Record<string, Latency>>;
+}
+
+const PREFIX = 'tanagerpond_';
+
+const PERCENTILES = [50, 90, 99, 99.9];
+
+/** The metrics of the process as Prometheus text. */
+export class MetricsPage {
+  readonly #sources: MetricsSources;
+
+  readonly #registry = new Registry();
+
+  readonly #host = this.#createCounter('host_events_total', 'Events of the process host');
+
+  readonly #decisions = this.#createCounter('decisions_total', 'Counters of the decisions');
+
+  readonly #gauges = new Gauge({
+    name: `${PREFIX}host_level`,
+    help: 'Present levels of the process host',
+    labelNames: ['name'],
+    registers: [this.#registry],
+  });
+
+  readonly #latency = new Gauge({
+    name: `${PREFIX}request_duration_ms`,
+    help: 'Time from the arrival of a request until its answer, in milliseconds',
+    labelNames: ['listener', 'percentile'],
+    registers: [this.#registry],
+  });
+
+  /** @param sources - Where the values come from. */
+  constructor(sources: MetricsSources) {
+    this.#sources = sources;
+    collectDefaultMetrics({ register: this.#registry, prefix: PREFIX });
+  }
+
+  /** Renders the present values. */
+  render(): Promise<string> {
+    const { readHostCounters, readDecisionCounters, readGauges, latencies } = this.#sources;
+    replaceCounts(this.#host, readHostCounters());
+    replaceCounts(this.#decisions, readDecisionCounters());
+    Object.entries(readGauges()).forEach(([name, value]) => this.#gauges.set({ name }, value));
+    Object.entries(latencies).forEach(([listener, latency]) => {
+      PERCENTILES.forEach((percentile) => {
+        this.#latency.set({ listener, percentile }, latency.readPercentile(percentile));
+      });
+    });
+    return this.#registry.metrics();
+  }
+
+  #createCounter(name: string, help: string): Counter<'event'> {
+    return new Counter({
+      name: `${PREFIX}${name}`,
+      help,
+      labelNames: ['event'],
+      registers: [this.#registry],
+    });
+  }
+}
+
+function replaceCounts(counter: Counter<'event'>, counts: Readonly<Record<string, number>>): void {
+  counter.reset();
+  Object.entries(counts).forEach(([event, value]) => counter.inc({ event }, value));
+}
--- /dev/null
+++ b/packages/node/src/process/admin/index.ts
@@ -0,0 +1,2 @@
+export { AdminListener } from './AdminListener.js';
+export { MetricsPage } from './MetricsPage.js';
--- /dev/null
+++ b/packages/node/src/process/backend/BackendExchange.ts
@@ -0,0 +1,155 @@
+import type { node } from '@tanagerpond/core';
+import type { Dispatcher } from 'undici';
+import { parseRawHeaders, removeConnectionHeaders } from '../../request/headers.js';
+import type { BodyStore, Reservation } from '../bodies/index.js';
+
+/** Header by which a backend server says that it shed a request without running it. */
+const SHED_HEADER = 'tanagerpond-shed';
+
+const SHED_NOT_RUN = 'not-run';
+
+/** First status that is a final answer; lower ones are informational. */
+const FIRST_FINAL_STATUS = 200;
+
+/** Options of one exchange with the backend server. */
+export interface BackendExchangeOptions {
+  readonly callId: string;
+  readonly method: string;
+  readonly timeoutMs: number;
+  /** Largest answer in bytes. */
+  readonly maxAnswer: number;
+  readonly store: BodyStore;
+  /** Called exactly once. The answer is in the store by then. */
+  readonly onResult: (result: node.BackendResult) => void;
+}
+
+/** One request to the backend server and its whole answer; a handler of undici. */
+export class BackendExchange implements Dispatcher.DispatchHandler {
+  readonly #options: BackendExchangeOptions;
+
+  readonly #timer: NodeJS.Timeout;
+
+  #controller: Dispatcher.DispatchController | undefined;
+
+  #reservation: Reservation | undefined;
+
+  readonly #chunks: Buffer[] = [];
+
+  #size = 0;
+
+  #status = 0;
+
+  #headers: readonly node.HeaderPair[] = [];
+
+  #framed = false;
+
+  #done = false;
+
+  /** @param options - Limits of the exchange and where its result goes. */
+  constructor(options: BackendExchangeOptions) {
+    this.#options = options;
+    this.#timer = setTimeout(() => this.#expire(), options.timeoutMs);
+  }
+
+  /** Ends the exchange at once; the result is `cancelled`. */
+  cancel(): void {
+    this.#finish({ kind: 'cancelled' });
+    this.#abort();
+  }
+
+  /** Called by undici immediately before the first byte of the request is written. */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#done) {
+      this.#abort();
+    }
+  }
+
+  onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+    if (this.#done || status < FIRST_FINAL_STATUS) {
+      return;
+    }
+    const raw = parseRawHeaders(controller.rawHeaders as readonly Buffer[]);
+    this.#status = status;
+    this.#headers = removeConnectionHeaders(raw);
+    this.#framed = raw.some(
+      ([name, value]) =>
+        name === 'content-length' || (name === 'transfer-encoding' && /chunked/i.test(value)),
+    );
+    const declared = Number(raw.find(([name]) => name === 'content-length')?.[1] ?? 0);
+    const expected = this.#options.method === 'HEAD' ? 0 : declared;
+    if (expected > this.#options.maxAnswer) {
+      this.#refuseAnswer();
+      return;
+    }
+    this.#reservation = this.#options.store.tryReserve(expected);
+    if (this.#reservation === undefined) {
+      this.#refuseAnswer();
+    }
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.#done) {
+      return;
+    }
+    this.#size += chunk.length;
+    const missing = this.#size - (this.#reservation?.size ?? 0);
+    const fits = missing <= 0 || this.#reservation?.tryGrow(missing) === true;
+    if (this.#size > this.#options.maxAnswer || !fits) {
+      this.#refuseAnswer();
+      return;
+    }
+    this.#chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    const { callId, store } = this.#options;
+    const reservation = this.#reservation;
+    if (this.#done || reservation === undefined) {
+      return;
+    }
+    if (!this.#framed && this.#size > 0) {
+      // An answer that ends with its connection cannot be told from a truncated one.
+      this.#finish({ kind: 'broken' });
+      return;
+    }
+    this.#reservation = undefined;
+    store.add(callId, Buffer.concat(this.#chunks, this.#size), reservation);
+    const headers = this.#headers.filter(([name]) => name !== SHED_HEADER);
+    const shed = this.#headers.some(
+      ([name, value]) => name === SHED_HEADER && value === SHED_NOT_RUN,
+    );
+    const status = this.#status;
+    const bodySize = this.#size;
+    this.#finish({ kind: 'answered', status, headers, bodySize, shed: shed && status === 503 });
+  }
+
+  onResponseError(): void {
+    this.#finish({ kind: this.#controller === undefined ? 'notSent' : 'broken' });
+  }
+
+  #expire(): void {
+    this.#finish({ kind: this.#controller === undefined ? 'notSent' : 'cancelled' });
+    this.#abort();
+  }
+
+  #refuseAnswer(): void {
+    this.#finish({ kind: 'answerTooLarge' });
+    this.#abort();
+  }
+
+  #abort(): void {
+    this.#controller?.abort(new Error('exchange with the backend server ended'));
+  }
+
+  #finish(result: node.BackendResult): void {
+    if (this.#done) {
+      return;
+    }
+    this.#done = true;
+    clearTimeout(this.#timer);
+    this.#reservation?.release();
+    this.#reservation = undefined;
+    this.#options.onResult(result);
+  }
+}
--- /dev/null
+++ b/packages/node/src/process/backend/index.ts
@@ -0,0 +1,2 @@
+export { BackendPool } from './BackendPool.js';
+export { HealthPoller } from './HealthPoller.js';
--- /dev/null
+++ b/packages/node/src/process/bodies/index.ts
@@ -0,0 +1,3 @@
+export { BodyStore } from './BodyStore.js';
+export type { HeldBody } from './BodyStore.js';
+export type { Reservation } from './BudgetPart.js';
--- /dev/null
+++ b/packages/node/src/process/decisions/Decisions.ts
@@ -0,0 +1,20 @@
+import type { node } from '@tanagerpond/core';
+
+/** The decisions of a node as the host uses them; `NodeMachine` of the core package has this form. */
+export interface Decisions {
+  /**
+   * Takes one message and returns what to do.
+   * @param message - What happened.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  handle(message: node.NodeMessage, nowMs: number): readonly node.NodeCommand[];
+
+  /**
+   * Shows the state for the state dump.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  snapshot(nowMs: number): object;
+
+  /** Reads the counters for the metrics. */
+  readCounters(): Readonly<Record<string, number>>;
+}
--- /dev/null
+++ b/packages/node/src/process/decisions/index.ts
@@ -0,0 +1,3 @@
+export type { Decisions } from './Decisions.js';
+export { DecisionTask } from './DecisionTask.js';
+export { StartingDecisions } from './StartingDecisions.js';
--- /dev/null
+++ b/packages/node/src/process/host/CommandDispatcher.ts
@@ -0,0 +1,143 @@
+import { request } from '@tanagerpond/core';
+import type { node } from '@tanagerpond/core';
+import type { Frame } from '@tanagerpond/wire';
+import { Outcome } from '@tanagerpond/wire';
+import { buildFrame } from '../../connection/index.js';
+import type { PeerLinks } from '../../connection/index.js';
+import type { RequestListener } from '../../request/index.js';
+import type { BackendPool } from '../backend/index.js';
+import type { BodyStore, HeldBody } from '../bodies/index.js';
+import type { Log } from '../log/index.js';
+import type { Counters } from '../metrics/index.js';
+import type { PlatformReader } from '../platform/index.js';
+
+/** Parts of the process that carry out commands. */
+export interface CommandTargets {
+  readonly listeners: readonly RequestListener[];
+  readonly links: PeerLinks;
+  readonly backend: BackendPool;
+  readonly platform: PlatformReader;
+  readonly store: BodyStore;
+  readonly counters: Counters;
+  readonly log: Log;
+  readonly publish: (message: node.NodeMessage) => void;
+  readonly finishDrain: () => void;
+}
+
+type Command<K extends node.NodeCommand['kind']> = Extract<node.NodeCommand, { kind: K }>;
+
+type Handlers = {
+  readonly [K in node.NodeCommand['kind']]: (command: Command<K>) => void;
+};
+
+/** Carries out the commands of the decisions. */
+export class CommandDispatcher {
+  readonly #targets: CommandTargets;
+
+  readonly #handlers: Handlers;
+
+  /** @param targets - Parts of the process. */
+  constructor(targets: CommandTargets) {
+    const { backend, platform, store, log } = targets;
+    this.#targets = targets;
+    this.#handlers = {
+      answerRequester: (command) => this.#answer(command),
+      refuseRequester: ({ requestId, refusal, headers }) =>
+        this.#refuse(requestId, refusal, headers),
+      sendRequest: (command) => this.#sendRequest(command),
+      sendReply: (command) => this.#sendReply(command),
+      callBackend: (command) => this.#callBackend(command),
+      cancelBackend: ({ callId }) => backend.cancel(callId),
+      releaseBody: ({ bodyOf }) => store.release(bodyOf),
+      keepBody: ({ from, to }) => this.#checkKept(store.addAlias(from, to), 'keepBody'),
+      readService: () => platform.readService(),
+      watchService: ({ enabled }) => platform.watchService(enabled),
+      drained: () => targets.finishDrain(),
+      log: ({ level, part, text, fields }) => log.write(level, part, text, fields),
+    };
+  }
+
+  /**
+   * Carries out one command.
+   * @param command - Command of the decisions.
+   */
+  dispatch(command: node.NodeCommand): void {
+    (this.#handlers[command.kind] as (one: node.NodeCommand) => void)(command);
+  }
+
+  #answer({ requestId, status, headers, bodyOf }: Command<'answerRequester'>): void {
+    const body = this.#targets.store.take(bodyOf);
+    if (body === undefined) {
+      this.#checkKept(false, 'answerRequester');
+      this.#refuse(requestId, request.createRefusal('backendFailed'), []);
+      return;
+    }
+    const answered = this.#targets.listeners.some((listener) =>
+      listener.answer(requestId, { status, headers }, body),
+    );
+    if (!answered) {
+      body.release();
+    }
+  }
+
+  #refuse(requestId: string, refusal: request.Refusal, headers: readonly node.HeaderPair[]): void {
+    this.#targets.listeners.some((listener) => listener.refuse(requestId, refusal, headers));
+  }
+
+  #sendRequest({ peer, frame, bodyOf }: Command<'sendRequest'>): void {
+    const taken = this.#takeBody(frame, bodyOf);
+    if (taken.found) {
+      this.#targets.links.sendRequest(peer, frame, taken.body);
+    }
+  }
+
+  #sendReply({ peer, frame, bodyOf }: Command<'sendReply'>): void {
+    const taken = this.#takeBody(frame, bodyOf);
+    if (taken.found) {
+      this.#targets.links.sendReply(peer, frame, taken.body);
+    } else if (frame.body.case === 'answer') {
+      const { callId } = frame.body.value;
+      const value = { callId, reason: 'backendFailed', outcome: Outcome.UNKNOWN };
+      this.#targets.links.sendReply(peer, buildFrame({ case: 'refused', value }));
+    }
+  }
+
+  #callBackend(command: Command<'callBackend'>): void {
+    const body = this.#targets.store.take(command.bodyOf);
+    if (body === undefined) {
+      this.#checkKept(false, 'callBackend');
+      const { callId } = command;
+      this.#targets.publish({ kind: 'backendResult', callId, result: { kind: 'notSent' } });
+      return;
+    }
+    this.#targets.backend.call(command, body);
+  }
+
+  /** Takes the body that a frame announces; a frame whose body is missing or of another size must not be sent. */
+  #takeBody(
+    frame: Frame,
+    bodyOf: string | undefined,
+  ): { readonly found: boolean; readonly body?: HeldBody } {
+    const { case: kind, value } = frame.body;
+    const size = kind === 'openCall' || kind === 'answer' ? value.bodySize : 0;
+    if (size === 0) {
+      return { found: true };
+    }
+    const body = bodyOf === undefined ? undefined : this.#targets.store.take(bodyOf);
+    if (body !== undefined && body.bytes.length === size) {
+      return { found: true, body };
+    }
+    body?.release();
+    this.#checkKept(false, String(kind));
+    return { found: false };
+  }
+
+  #checkKept(kept: boolean, command: string): void {
+    if (!kept) {
+      this.#targets.counters.count('body_missing');
+      this.#targets.log.write('error', 'decisions', 'command names a body that is not kept', {
+        command,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -0,0 +1,300 @@
+import { randomBytes } from 'node:crypto';
+import { performance } from 'node:perf_hooks';
+import type { membership, node } from '@tanagerpond/core';
+import {
+  buildFrame,
+  connectPeer,
+  PeerCredentials,
+  PeerLinks,
+  PeerServer,
+} from '../../connection/index.js';
+import { RequestListener } from '../../request/index.js';
+import { AdminListener, MetricsPage } from '../admin/index.js';
+import { BackendPool, HealthPoller } from '../backend/index.js';
+import { BodyStore } from '../bodies/index.js';
+import { DecisionTask } from '../decisions/index.js';
+import type { Decisions } from '../decisions/index.js';
+import type { Log } from '../log/index.js';
+import { Counters, Latency } from '../metrics/index.js';
+import { PlatformReader } from '../platform/index.js';
+import { formatAddress } from '../settings/index.js';
+import type { ListenAddress, Settings } from '../settings/index.js';
+import { CommandDispatcher } from './CommandDispatcher.js';
+
+/** What a process needs to start. */
+export interface NodeProcessOptions {
+  readonly settings: Settings;
+  readonly log: Log;
+  /** Creates the decisions; `startedMs` is monotonic, in milliseconds. */
+  readonly createDecisions: (start: {
+    readonly self: membership.VmIdentity;
+    readonly startedMs: number;
+  }) => Decisions;
+}
+
+/** Addresses in use, as `IP:port`. */
+export type NodeAddresses = Readonly<Record<'caller' | 'egress' | 'peer' | 'admin', string>>;
+
+/** Bytes of an incarnation. */
+const INCARNATION_BYTES = 16;
+
+/** Characters of the incarnation that make request ids of different processes different. */
+const ID_PREFIX_LENGTH = 12;
+
+/** Time beyond the drain limit that the decisions have to report the end of the drain, in milliseconds. */
+const DRAIN_MARGIN_MS = 500;
+
+/** The process beside a backend server: every task, wired to the decisions. */
+export class NodeProcess {
+  readonly #options: NodeProcessOptions;
+
+  readonly #self: membership.VmIdentity;
+
+  readonly #counters = new Counters();
+
+  readonly #latencies = { caller: new Latency(), egress: new Latency() };
+
+  readonly #store: BodyStore;
+
+  readonly #decisions: Decisions;
+
+  readonly #task: DecisionTask;
+
+  readonly #links: PeerLinks;
+
+  readonly #server: PeerServer;
+
+  readonly #listeners: Readonly<Record<'caller' | 'egress', RequestListener>>;
+
+  readonly #backend: BackendPool;
+
+  readonly #health: HealthPoller;
+
+  readonly #platform: PlatformReader;
+
+  readonly #admin: AdminListener;
+
+  readonly #drain = createSignal();
+
+  #draining = false;
+
+  #lastRequest = 0;
+
+  /** @param options - Settings, log and decisions. */
+  constructor(options: NodeProcessOptions) {
+    this.#options = options;
+    const { settings, log } = options;
+    const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
+    this.#self = { ...settings.vm, incarnation };
+    this.#store = new BodyStore(settings.bodies.budget);
+    this.#decisions = options.createDecisions({ self: this.#self, startedMs: readNow() });
+    const credentials = createCredentials(settings);
+    const common = { store: this.#store, counters: this.#counters, log, now: readNow };
+    const publish = (message: node.NodeMessage): void => this.#publish(message);
+    this.#links = new PeerLinks({
+      ...common,
+      publish,
+      maxBody: settings.bodies.maxBody,
+      buildHello: () => this.#buildHello(),
+      connect: (peer, address) => connectPeer({ peer, address, credentials }),
+    });
+    this.#server = new PeerServer(credentials, (transport) => this.#links.accept(transport));
+    this.#listeners = {
+      caller: this.#createListener('caller'),
+      egress: this.#createListener('egress'),
+    };
+    const backend = formatAddress(settings.backend.address);
+    this.#backend = new BackendPool({
+      ...common,
+      publish,
+      address: backend,
+      connections: settings.backend.connections,
+      connectLimitMs: settings.backend.connectTimeMs,
+    });
+    this.#health = new HealthPoller({ address: backend, publish });
+    this.#platform = new PlatformReader({
+      ...common,
+      publish,
+      address: formatAddress(settings.platform.address),
+      waitMs: settings.platform.waitMs,
+    });
+    const dispatcher = new CommandDispatcher({
+      ...common,
+      publish,
+      listeners: Object.values(this.#listeners),
+      links: this.#links,
+      backend: this.#backend,
+      platform: this.#platform,
+      finishDrain: () => this.#drain.send(),
+    });
+    this.#task = new DecisionTask({
+      decisions: this.#decisions,
+      dispatch: (command) => dispatcher.dispatch(command),
+      now: readNow,
+      log,
+    });
+    this.#admin = this.#createAdmin();
+  }
+
+  /**
+   * Opens the listeners and starts every task.
+   * @returns The addresses in use. Rejects when one cannot be used; what was opened is to be disposed of then.
+   */
+  async start(): Promise<NodeAddresses> {
+    const { listen } = this.#options.settings;
+    const addresses = {
+      peer: await openListener(this.#server, listen.peer),
+      caller: await openListener(this.#listeners.caller, listen.caller),
+      egress: await openListener(this.#listeners.egress, listen.egress),
+      admin: await openListener(this.#admin, listen.admin),
+    };
+    this.#links.start();
+    this.#task.start();
+    this.#health.start();
+    this.#platform.start();
+    return addresses;
+  }
+
+  /** Begins a drain; no effect when one is under way. */
+  drain(): void {
+    if (this.#draining) {
+      return;
+    }
+    this.#draining = true;
+    this.#options.log.write('info', 'drain', 'drain requested');
+    Object.values(this.#listeners).forEach((listener) => listener.drain());
+    const limitMs = this.#options.settings.drain.limitMs + DRAIN_MARGIN_MS;
+    const timer = setTimeout(() => this.#drain.send(), limitMs);
+    void this.#drain.sent.then(() => clearTimeout(timer));
+    this.#publish({ kind: 'drainRequested' });
+  }
+
+  /** Waits until a drain is over: every call in flight is done, or the drain limit has passed. */
+  waitDrained(): Promise<void> {
+    return this.#drain.sent;
+  }
+
+  /** Closes every listener and connection. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#listeners.caller[Symbol.asyncDispose]();
+    await this.#listeners.egress[Symbol.asyncDispose]();
+    await this.#health[Symbol.asyncDispose]();
+    await this.#platform[Symbol.asyncDispose]();
+    await this.#links[Symbol.asyncDispose]();
+    await this.#server[Symbol.asyncDispose]();
+    await this.#task[Symbol.asyncDispose]();
+    await this.#backend[Symbol.asyncDispose]();
+    await this.#admin[Symbol.asyncDispose]();
+  }
+
+  #publish(message: node.NodeMessage): void {
+    if (message.kind === 'vmsListed') {
+      this.#links.replaceAddresses(message.vms);
+    }
+    this.#task.publish(message);
+  }
+
+  #createListener(part: 'caller' | 'egress'): RequestListener {
+    const { bodies, requests } = this.#options.settings;
+    return new RequestListener({
+      part,
+      limits: {
+        maxBody: bodies.maxBody,
+        headerBytes: requests.headerBytes,
+        headerLimitMs: requests.headerTimeMs,
+        requestLimitMs: requests.requestTimeMs,
+        connections: requests.connections,
+      },
+      store: this.#store,
+      counters: this.#counters,
+      latency: this.#latencies[part],
+      now: readNow,
+      buildRequestId: () => this.#buildRequestId(),
+      publish: (message) => this.#publish(message),
+    });
+  }
+
+  #createAdmin(): AdminListener {
+    const page = new MetricsPage({
+      readHostCounters: () => this.#counters.read(),
+      readDecisionCounters: () => this.#decisions.readCounters(),
+      readGauges: () => this.#readGauges(),
+      latencies: this.#latencies,
+    });
+    return new AdminListener({
+      readState: () => this.#readState(),
+      renderMetrics: () => page.render(),
+      isDraining: () => this.#draining,
+      drain: () => this.drain(),
+    });
+  }
+
+  #readState(): object {
+    const { settings } = this.#options;
+    return {
+      vm: this.#self,
+      draining: this.#draining,
+      decisions: this.#decisions.snapshot(readNow()),
+      links: this.#links.snapshot(),
+      bodies: this.#store.snapshot(),
+      levels: this.#readGauges(),
+      counters: { host: this.#counters.read(), decisions: this.#decisions.readCounters() },
+      settings: { ...settings, tls: { plainText: settings.tls.plainText } },
+    };
+  }
+
+  #readGauges(): Readonly<Record<string, number>> {
+    return {
+      body_bytes: this.#store.used,
+      bodies: this.#store.count,
+      caller_pending: this.#listeners.caller.pending,
+      egress_pending: this.#listeners.egress.pending,
+      backend_in_flight: this.#backend.inFlight,
+      decision_failures: this.#task.failures,
+    };
+  }
+
+  #buildHello(): ReturnType<typeof buildFrame> {
+    const { name, incarnation, service, failureDomain } = this.#self;
+    const bundleVersion = this.#decisions.readCounters().bundleVersion ?? 0;
+    const leaving = this.#draining;
+    return buildFrame({
+      case: 'hello',
+      value: { vm: name, incarnation, service, failureDomain, bundleVersion, leaving },
+    });
+  }
+
+  #buildRequestId(): string {
+    this.#lastRequest += 1;
+    return `${this.#self.incarnation.slice(0, ID_PREFIX_LENGTH)}-${this.#lastRequest}`;
+  }
+}
+
+/** A promise that is settled from outside; sending again has no effect. */
+function createSignal(): { readonly sent: Promise<void>; readonly send: () => void } {
+  let send = (): void => undefined;
+  const sent = new Promise<void>((resolve) => {
+    send = resolve;
+  });
+  return { sent, send: () => send() };
+}
+
+function readNow(): number {
+  return performance.now();
+}
+
+function createCredentials({ tls }: Settings): PeerCredentials {
+  const { certificate, key, authorities } = tls;
+  const complete = certificate !== undefined && key !== undefined && authorities !== undefined;
+  return new PeerCredentials(
+    !tls.plainText && complete ? { certificate, key, authorities } : undefined,
+  );
+}
+
+async function openListener(
+  listener: { listen(host: string, port: number): Promise<number> },
+  address: ListenAddress,
+): Promise<string> {
+  const port = await listener.listen(address.host, address.port);
+  return formatAddress({ host: address.host, port });
+}
--- /dev/null
+++ b/packages/node/src/process/host/index.ts
@@ -0,0 +1,2 @@
+export { NodeProcess } from './NodeProcess.js';
+export type { NodeAddresses, NodeProcessOptions } from './NodeProcess.js';
--- /dev/null
+++ b/packages/node/src/process/log/createLogger.ts
@@ -0,0 +1,79 @@
+import type { Writable } from 'node:stream';
+import winston from 'winston';
+
+/** Parts that log; each line begins with the part. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+/** Fields of a log line. Never a key, ticket, token or body. */
+export type LogFields = Readonly<Record<string, string | number | boolean>>;
+
+/** Writes log lines. */
+export interface Log {
+  /**
+   * Writes one line, or counts it when the same text was written within the last 10 s.
+   * @param level - Severity.
+   * @param part - Fixed prefix of the part, such as `link`.
+   * @param text - Short sentence without changing content; what changes goes into the fields.
+   * @param fields - Further data.
+   */
+  write(level: LogLevel, part: string, text: string, fields?: LogFields): void;
+}
+
+interface Repeated {
+  untilMs: number;
+  count: number;
+}
+
+/** Time for which a repeated warning or error is counted instead of written, in milliseconds. */
+const REPEAT_MS = 10_000;
+
+/** Different texts remembered; beyond it the oldest is forgotten and would be written again. */
+const REMEMBERED_TEXTS = 256;
+
+/**
+ * Creates the log of the process: JSON lines by winston.
+ * @param options - `level` is the least severe level written; `now` gives monotonic milliseconds.
+ */
+export function createLogger(options: {
+  readonly level: LogLevel;
+  readonly stream: Writable;
+  readonly now: () => number;
+}): Log {
+  const logger = winston.createLogger({
+    level: options.level,
+    format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
+    transports: [new winston.transports.Stream({ stream: options.stream })],
+  });
+  const repeated = new Map<string, Repeated>();
+  return {
+    write(level, part, text, fields = {}) {
+      const count =
+        level === 'info' || level === 'debug'
+          ? 0
+          : countRepeat(repeated, `${part}: ${text}`, options.now());
+      if (count !== undefined) {
+        const repeats = count > 0 ? { repeated: count } : {};
+        logger.log({ ...fields, ...repeats, level, message: `${part}: ${text}` });
+      }
+    },
+  };
+}
+
+/** Returns how often the text came since it was last written, or undefined when it is not to be written now. */
+function countRepeat(
+  repeated: Map<string, Repeated>,
+  text: string,
+  nowMs: number,
+): number | undefined {
+  const known = repeated.get(text);
+  if (known !== undefined && nowMs < known.untilMs) {
+    known.count += 1;
+    return undefined;
+  }
+  repeated.delete(text);
+  repeated.set(text, { untilMs: nowMs + REPEAT_MS, count: 0 });
+  if (repeated.size > REMEMBERED_TEXTS) {
+    [...repeated.keys()].slice(0, 1).forEach((oldest) => repeated.delete(oldest));
+  }
+  return known?.count ?? 0;
+}
--- /dev/null
+++ b/packages/node/src/process/metrics/index.ts
@@ -0,0 +1,2 @@
+export { Counters } from './Counters.js';
+export { Latency } from './Latency.js';
--- /dev/null
+++ b/packages/node/src/process/platform/PlatformClient.ts
@@ -0,0 +1,101 @@
+import { Result } from 'true-myth';
+import { Pool } from 'undici';
+import { PlatformError } from './PlatformError.js';
+
+/** A value of the platform. */
+export interface PlatformValue {
+  /** Index of the value, for the next watch. */
+  readonly index: number;
+  readonly text: string;
+}
+
+/** Largest answer in bytes: the VM list of 18,000 VMs takes about 3 MB. */
+const ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** Time limit of an answer beyond the time that a watch waits, in milliseconds. */
+const ANSWER_LIMIT_MS = 5_000;
+
+const CONNECT_LIMIT_MS = 1_000;
+
+/** Reads and watches the platform's values over HTTP. */
+export class PlatformClient {
+  readonly #pool: Pool;
+
+  readonly #stop = new AbortController();
+
+  /** @param address - `IP:port` of the platform. */
+  constructor(address: string) {
+    this.#pool = new Pool(`http://${address}`, {
+      connections: 3,
+      pipelining: 1,
+      connect: { timeout: CONNECT_LIMIT_MS },
+      maxResponseSize: ANSWER_BYTES,
+      headersTimeout: 0,
+      bodyTimeout: ANSWER_LIMIT_MS,
+    });
+  }
+
+  /**
+   * Reads a value once.
+   * @param path - Path of the value.
+   */
+  read(path: string): Promise<Result<PlatformValue, PlatformError>> {
+    return this.#request(path, path, 0) as Promise<Result<PlatformValue, PlatformError>>;
+  }
+
+  /**
+   * Waits for a value that is newer than an index.
+   * @param path - Path of the value.
+   * @param after - Index of the value that is known.
+   * @param waitMs - Longest wait, in milliseconds.
+   * @returns Undefined when nothing newer came within the wait.
+   */
+  watch(
+    path: string,
+    after: number,
+    waitMs: number,
+  ): Promise<Result<PlatformValue | undefined, PlatformError>> {
+    return this.#request(path, `${path}?after=${after}&waitMs=${waitMs}`, waitMs);
+  }
+
+  /** Ends every read. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#stop.abort();
+    await this.#pool.destroy();
+  }
+
+  async #request(
+    path: string,
+    target: string,
+    waitMs: number,
+  ): Promise<Result<PlatformValue | undefined, PlatformError>> {
+    try {
+      const limit = AbortSignal.timeout(waitMs + ANSWER_LIMIT_MS);
+      const signal = AbortSignal.any([this.#stop.signal, limit]);
+      const answer = await this.#pool.request({ path: target, method: 'GET', signal });
+      const text = await answer.body.text();
+      if (answer.statusCode === 304 && target !== path) {
+        return Result.ok(undefined);
+      }
+      if (answer.statusCode !== 200) {
+        return Result.err(new PlatformError(path, 'status', answer.statusCode));
+      }
+      const index = Number(answer.headers['platform-index'] ?? readIndex(text));
+      return Number.isSafeInteger(index)
+        ? Result.ok({ index, text })
+        : Result.err(new PlatformError(path, 'indexMissing'));
+    } catch {
+      return Result.err(new PlatformError(path, 'unreachable'));
+    }
+  }
+}
+
+/** The VM list carries its index in the value. */
+function readIndex(text: string): unknown {
+  try {
+    const value: unknown = JSON.parse(text);
+    return typeof value === 'object' && value !== null && 'index' in value ? value.index : NaN;
+  } catch {
+    return NaN;
+  }
+}
--- /dev/null
+++ b/packages/node/src/process/platform/index.ts
@@ -0,0 +1,1 @@
+export { PlatformReader } from './PlatformReader.js';
--- /dev/null
+++ b/packages/node/src/process/settings/settingsSchema.ts
@@ -0,0 +1,119 @@
+import { isIP } from 'node:net';
+import * as z from 'zod';
+
+const MEBIBYTE = 1024 * 1024;
+
+/** Address as `IP:port`; port 0 stands for any free one. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Schema of the settings of a node: INI sections with keys in camel case; sizes in bytes, times in milliseconds. */
+export const settingsSchema = z.strictObject({
+  vm: z.strictObject({
+    name: createName(),
+    service: createName(),
+    failureDomain: createName(),
+  }),
+  listen: z.strictObject({
+    caller: createAddress(),
+    egress: createAddress().refine(isLoopback, 'a loopback address as IP:port'),
+    peer: createAddress(),
+    admin: createAddress().refine(isLoopback, 'a loopback address as IP:port'),
+  }),
+  backend: z.strictObject({
+    address: createAddress(),
+    connections: createInteger(1, 100_000).default(256),
+    connectTimeMs: createInteger(10, 60_000).default(500),
+  }),
+  platform: z.strictObject({
+    address: createAddress(),
+    waitMs: createInteger(100, 300_000).default(30_000),
+  }),
+  trust: z.strictObject({ signingKeys: createKeys() }),
+  bodies: z.strictObject({
+    maxBody: createInteger(1024, 64 * MEBIBYTE).default(16 * MEBIBYTE),
+    budget: createInteger(MEBIBYTE, 1024 * MEBIBYTE).default(96 * MEBIBYTE),
+  }),
+  requests: z.strictObject({
+    headerBytes: createInteger(1024, MEBIBYTE).default(32 * 1024),
+    headerTimeMs: createInteger(100, 600_000).default(10_000),
+    requestTimeMs: createInteger(100, 600_000).default(60_000),
+    connections: createInteger(1, 100_000).default(4_096),
+  }),
+  drain: z.strictObject({ limitMs: createInteger(0, 3_600_000).default(30_000) }),
+  log: z.strictObject({
+    level: z.enum(['debug', 'info', 'warn', 'error'], 'debug, info, warn or error').default('info'),
+  }),
+  tls: z.strictObject({
+    plainText: z
+      .enum(['yes', 'no'], 'yes or no')
+      .default('no')
+      .transform((text) => text === 'yes'),
+    certificate: createPath().optional(),
+    key: createPath().optional(),
+    authorities: createPath().optional(),
+  }),
+});
+
+export type Settings = z.infer<typeof settingsSchema>;
+
+/** Sections that every settings file may leave out, because all their keys have defaults. */
+export const OPTIONAL_SECTIONS = ['bodies', 'requests', 'drain', 'log', 'tls'] as const;
+
+/**
+ * Tells whether an address is on loopback.
+ * @param address - Address to listen on.
+ */
+export function isLoopback(address: ListenAddress): boolean {
+  return address.host === '::1' || address.host.startsWith('127.');
+}
+
+/**
+ * Formats an address as `IP:port`, with brackets around an IPv6 address.
+ * @param address - Address to format.
+ */
+export function formatAddress({ host, port }: ListenAddress): string {
+  return isIP(host) === 6 ? `[${host}]:${port}` : `${host}:${port}`;
+}
+
+function createName() {
+  const expected = 'a name of 1 to 253 letters, digits, dots and hyphens';
+  return z.string(expected).regex(/^[A-Za-z0-9][A-Za-z0-9.-]{0,252}$/, expected);
+}
+
+function createPath() {
+  return z.string('the path of a PEM file').min(1, 'the path of a PEM file');
+}
+
+function createInteger(lowest: number, highest: number) {
+  const expected = `a whole number from ${lowest} to ${highest}`;
+  return z
+    .string(expected)
+    .regex(/^\d{1,15}$/, expected)
+    .transform(Number)
+    .refine((value) => value >= lowest && value <= highest, expected);
+}
+
+function createAddress() {
+  const expected = 'an address as IP:port';
+  return z.string(expected).transform((text, context): ListenAddress => {
+    const match = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(text);
+    const host = match?.[1] ?? match?.[2] ?? '';
+    const port = Number(match?.[3] ?? NaN);
+    if (isIP(host) === 0 || !(port <= 65_535)) {
+      context.addIssue({ code: 'custom', message: expected });
+      return z.NEVER;
+    }
+    return { host, port };
+  });
+}
+
+function createKeys() {
+  const expected = 'raw ed25519 public keys (32 bytes) in base64, separated by commas';
+  return z
+    .string(expected)
+    .transform((text) => text.split(',').map((key) => key.trim()))
+    .refine((keys) => keys.every((key) => /^[A-Za-z0-9+/]{43}=$/.test(key)), expected);
+}
--- /dev/null
+++ b/packages/node/src/request/RequestListener.ts
@@ -0,0 +1,290 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import { getRequestListener } from '@hono/node-server';
+import type { HttpBindings } from '@hono/node-server';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
+import { request } from '@tanagerpond/core';
+import type { node } from '@tanagerpond/core';
+import { Hono } from 'hono';
+import type { BodyStore, HeldBody } from '../process/bodies/index.js';
+import type { Counters, Latency } from '../process/metrics/index.js';
+import { buildRefusalAnswer, OUTCOME_HEADER } from './buildRefusalAnswer.js';
+import type { PlainAnswer } from './buildRefusalAnswer.js';
+import { discardBody } from './discardBody.js';
+import { hasKeyShape } from './hasKeyShape.js';
+import { parseRawHeaders, removeConnectionHeaders } from './headers.js';
+import { readBody } from './readBody.js';
+import type { ReadBodyResult } from './readBody.js';
+import { writeAnswer } from './writeAnswer.js';
+
+/** Limits of a listener; times in milliseconds, sizes in bytes. */
+export interface RequestLimits {
+  readonly maxBody: number;
+  readonly headerBytes: number;
+  readonly headerLimitMs: number;
+  readonly requestLimitMs: number;
+  readonly connections: number;
+}
+
+/** Options of a listener; `now` gives monotonic milliseconds. */
+export interface RequestListenerOptions {
+  readonly part: 'caller' | 'egress';
+  readonly limits: RequestLimits;
+  readonly store: BodyStore;
+  readonly counters: Counters;
+  readonly latency: Latency;
+  readonly now: () => number;
+  readonly buildRequestId: () => string;
+  readonly publish: (message: node.NodeMessage) => void;
+}
+
+interface PendingRequest {
+  readonly outgoing: ServerResponse;
+  readonly arrivedMs: number;
+}
+
+/** Header by which a backend server names the call that an outgoing call belongs to. */
+const CALL_HEADER = 'tanagerpond-call';
+
+/** Idle time of a kept-alive connection, in milliseconds; above what usual clients keep, so that they close first. */
+const KEEP_ALIVE_MS = 30_000;
+
+/** Time between two checks of the header and request time limits, in milliseconds. */
+const CHECK_MS = 1_000;
+
+/** Time for connections to finish when the listener closes, in milliseconds. */
+const CLOSE_LIMIT_MS = 1_000;
+
+/** HTTP/1.1 listener for callers, or for the outgoing calls of the backend server. */
+export class RequestListener {
+  readonly #options: RequestListenerOptions;
+
+  readonly #pending = new Map<string, PendingRequest>();
+
+  /** Requests that got through the library's own checks. */
+  readonly #handled = new WeakSet<IncomingMessage>();
+
+  readonly #server: Server;
+
+  #draining = false;
+
+  /** @param options - Limits and where requests go. */
+  constructor(options: RequestListenerOptions) {
+    this.#options = options;
+    const app = new Hono<{ Bindings: HttpBindings }>();
+    app.all('*', async (context) => {
+      await this.#handle(context.env.incoming, context.env.outgoing);
+      return RESPONSE_ALREADY_SENT;
+    });
+    const listener = getRequestListener(app.fetch, {
+      overrideGlobalObjects: false,
+      autoCleanupIncoming: false,
+      errorHandler: () => undefined,
+    });
+    this.#server = createServer(
+      {
+        maxHeaderSize: options.limits.headerBytes,
+        headersTimeout: options.limits.headerLimitMs,
+        requestTimeout: options.limits.requestLimitMs,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        connectionsCheckingInterval: CHECK_MS,
+      },
+      (incoming, outgoing) => {
+        void listener(incoming, outgoing).then(() => this.#refuseUnhandled(incoming, outgoing));
+      },
+    );
+    this.#server.maxConnections = options.limits.connections;
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      this.#refuseMalformed(error, socket as Socket),
+    );
+    this.#server.on('drop', () => options.counters.count(`${options.part}_connection_dropped`));
+  }
+
+  /**
+   * Begins to listen.
+   * @param host - IP address.
+   * @param port - Port; 0 for any free one.
+   * @returns The port in use. Rejects when the address cannot be used.
+   */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, () => resolve((this.#server.address() as AddressInfo).port));
+    });
+  }
+
+  /** Requests that wait for an answer. */
+  get pending(): number {
+    return this.#pending.size;
+  }
+
+  /** From now on, every answer closes its connection. */
+  drain(): void {
+    this.#draining = true;
+  }
+
+  /**
+   * Answers a request.
+   * @param requestId - Request of this listener.
+   * @param answer - Status and headers of the answer.
+   * @param body - Body of the answer; released when it is sent or the client is gone.
+   * @returns False when the listener has no such request.
+   */
+  answer(
+    requestId: string,
+    answer: { readonly status: number; readonly headers: readonly node.HeaderPair[] },
+    body: HeldBody,
+  ): boolean {
+    const pending = this.#pending.get(requestId);
+    if (pending === undefined) {
+      return false;
+    }
+    pending.outgoing.once('close', () => body.release());
+    const outcome: node.HeaderPair = ['tanagerpond-outcome', OUTCOME_HEADER.complete];
+    const headers = removeConnectionHeaders(answer.headers);
+    this.#send(requestId, pending, {
+      status: answer.status,
+      headers: [...headers, outcome],
+      body: body.bytes,
+    });
+    return true;
+  }
+
+  /**
+   * Refuses a request.
+   * @param requestId - Request of this listener.
+   * @param refusal - Refusal of the decisions.
+   * @param headers - Further headers, such as a ticket.
+   * @returns False when the listener has no such request.
+   */
+  refuse(
+    requestId: string,
+    refusal: request.Refusal,
+    headers: readonly node.HeaderPair[],
+  ): boolean {
+    const pending = this.#pending.get(requestId);
+    if (pending === undefined) {
+      return false;
+    }
+    this.#options.counters.count(`${this.#options.part}_refused_${refusal.reason}`);
+    this.#send(requestId, pending, buildRefusalAnswer(refusal, headers));
+    return true;
+  }
+
+  /** Stops listening; connections get a second to finish. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    const timer = setTimeout(() => this.#server.closeAllConnections(), CLOSE_LIMIT_MS);
+    const closed = new Promise<void>((resolve) => {
+      this.#server.close(() => resolve());
+    });
+    this.#server.closeIdleConnections();
+    await closed;
+    clearTimeout(timer);
+  }
+
+  async #handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    this.#handled.add(incoming);
+    const arrivedMs = this.#options.now();
+    const { limits, store, part, counters } = this.#options;
+    counters.count(`${part}_requests`);
+    const body = await readBody(incoming, { maxBody: limits.maxBody, store });
+    if (body.kind === 'complete' && !outgoing.destroyed) {
+      this.#announce(incoming, outgoing, arrivedMs, body);
+      return;
+    }
+    if (body.kind === 'complete') {
+      body.reservation.release();
+    } else if (body.kind !== 'gone') {
+      await this.#refuseUnread(incoming, outgoing, body.kind);
+    }
+  }
+
+  #announce(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    arrivedMs: number,
+    body: Extract<ReadBodyResult, { kind: 'complete' }>,
+  ): void {
+    const { store, buildRequestId, publish, part } = this.#options;
+    const requestId = buildRequestId();
+    const all = parseRawHeaders(incoming.rawHeaders);
+    const arrived = {
+      requestId,
+      method: incoming.method ?? '',
+      target: incoming.url ?? '',
+      headers: all,
+      bodySize: body.bytes.length,
+      bodyDigest: body.digest,
+      bodyHasKey: hasKeyShape(body.bytes),
+    };
+    store.add(requestId, body.bytes, body.reservation);
+    this.#pending.set(requestId, { outgoing, arrivedMs });
+    outgoing.once('close', () => this.#endRequest(requestId));
+    if (part === 'caller') {
+      publish({ kind: 'callerRequest', request: arrived });
+      return;
+    }
+    const callToken = all.find(([name]) => name === CALL_HEADER)?.[1] ?? '';
+    const headers = all.filter(([name]) => name !== CALL_HEADER);
+    publish({ kind: 'egressRequest', request: { ...arrived, headers }, callToken });
+  }
+
+  #endRequest(requestId: string): void {
+    if (this.#pending.delete(requestId)) {
+      this.#options.counters.count(`${this.#options.part}_requester_gone`);
+      this.#options.publish({ kind: 'requesterGone', requestId });
+    }
+  }
+
+  async #refuseUnread(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    kind: 'tooLarge' | 'buffersFull',
+  ): Promise<void> {
+    const reason = kind === 'tooLarge' ? 'bodyTooLarge' : 'buffersFull';
+    this.#options.counters.count(`${this.#options.part}_refused_${reason}`);
+    const extra =
+      kind === 'tooLarge'
+        ? { detail: `largest body ${this.#options.limits.maxBody} bytes` }
+        : { retryAfterMs: chooseRetryAfterMs() };
+    await discardBody(incoming);
+    writeAnswer(outgoing, buildRefusalAnswer(request.createRefusal(reason, extra)), true);
+  }
+
+  #send(requestId: string, pending: PendingRequest, answer: PlainAnswer): void {
+    this.#pending.delete(requestId);
+    this.#options.latency.record(this.#options.now() - pending.arrivedMs);
+    writeAnswer(pending.outgoing, answer, this.#draining);
+  }
+
+  /** Refuses a request that the library rejected before the handler, such as one with an invalid `host`. */
+  #refuseUnhandled(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    if (!this.#handled.has(incoming) && !outgoing.headersSent) {
+      this.#options.counters.count(`${this.#options.part}_malformed`);
+      writeAnswer(outgoing, buildRefusalAnswer(request.createRefusal('requestMalformed')), true);
+    }
+  }
+
+  #refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+    this.#options.counters.count(`${this.#options.part}_malformed`);
+    if (error.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const answer = buildRefusalAnswer(
+      request.createRefusal('requestMalformed', { detail: error.code }),
+    );
+    const headers = answer.headers.map(([name, value]) => `${name}: ${value}\r\n`).join('');
+    const size = answer.body.length;
+    socket.end(
+      `HTTP/1.1 ${answer.status} Bad Request\r\n${headers}connection: close\r\n` +
+        `content-length: ${size}\r\n\r\n${answer.body.toString()}`,
+    );
+  }
+}
+
+/** Time after which a caller may come back when the buffers are full, in milliseconds; jittered. */
+function chooseRetryAfterMs(): number {
+  return 500 + Math.random() * 1_000;
+}
--- /dev/null
+++ b/packages/node/src/request/hasKeyShape.ts
@@ -0,0 +1,22 @@
+const KEY_PREFIX = Buffer.from('tpk_');
+
+/** Base64url characters of a key, for 256 random bits. */
+const KEY_CHARACTERS = 43;
+
+const KEY_END = /^[A-Za-z0-9_-]{43}$/;
+
+/**
+ * Tells whether bytes hold something of key shape, at any position.
+ * @param bytes - Body of a request.
+ */
+export function hasKeyShape(bytes: Buffer): boolean {
+  let position = bytes.indexOf(KEY_PREFIX);
+  while (position !== -1) {
+    const start = position + KEY_PREFIX.length;
+    if (KEY_END.test(bytes.toString('latin1', start, start + KEY_CHARACTERS))) {
+      return true;
+    }
+    position = bytes.indexOf(KEY_PREFIX, position + 1);
+  }
+  return false;
+}
--- /dev/null
+++ b/packages/node/src/request/readBody.ts
@@ -0,0 +1,74 @@
+import { createHash } from 'node:crypto';
+import type { IncomingMessage } from 'node:http';
+import type { BodyStore, Reservation } from '../process/bodies/index.js';
+
+/** Result of reading a request body. */
+export type ReadBodyResult =
+  | {
+      readonly kind: 'complete';
+      readonly bytes: Buffer;
+      /** SHA-256 in lower-case hexadecimal; empty without a body. */
+      readonly digest: string;
+      readonly reservation: Reservation;
+    }
+  | { readonly kind: 'tooLarge' }
+  | { readonly kind: 'buffersFull' }
+  /** The client closed before the body was complete. */
+  | { readonly kind: 'gone' };
+
+/**
+ * Reads the whole body of a request within the limits. The budget is taken before the bytes are kept.
+ * @param incoming - Request whose headers have arrived.
+ * @param limits - `maxBody` in bytes; the store holds the budget.
+ */
+export async function readBody(
+  incoming: IncomingMessage,
+  limits: { readonly maxBody: number; readonly store: BodyStore },
+): Promise<ReadBodyResult> {
+  const declared = Number(incoming.headers['content-length'] ?? 0);
+  if (declared > limits.maxBody) {
+    return { kind: 'tooLarge' };
+  }
+  const reservation = limits.store.tryReserve(declared);
+  if (reservation === undefined) {
+    return { kind: 'buffersFull' };
+  }
+  const result = await collectChunks(incoming, limits.maxBody, reservation);
+  if (result.kind !== 'complete') {
+    reservation.release();
+  }
+  return result;
+}
+
+async function collectChunks(
+  incoming: IncomingMessage,
+  maxBody: number,
+  reservation: Reservation,
+): Promise<ReadBodyResult> {
+  const chunks: Buffer[] = [];
+  const hash = createHash('sha256');
+  let size = 0;
+  try {
+    // Leaving the loop must not destroy the socket: the refusal is still to be sent on it.
+    // eslint-disable-next-line no-restricted-syntax -- a stream is read in order, chunk by chunk
+    for await (const chunk of incoming.iterator({ destroyOnReturn: false })) {
+      const bytes = chunk as Buffer;
+      size += bytes.length;
+      if (size > maxBody) {
+        return { kind: 'tooLarge' };
+      }
+      if (size > reservation.size && !reservation.tryGrow(size - reservation.size)) {
+        return { kind: 'buffersFull' };
+      }
+      hash.update(bytes);
+      chunks.push(bytes);
+    }
+  } catch {
+    return { kind: 'gone' };
+  }
+  if (!incoming.complete) {
+    return { kind: 'gone' };
+  }
+  const digest = size === 0 ? '' : hash.digest('hex');
+  return { kind: 'complete', bytes: Buffer.concat(chunks, size), digest, reservation };
+}
--- /dev/null
+++ b/packages/node/src/request/writeAnswer.ts
@@ -0,0 +1,20 @@
+import type { ServerResponse } from 'node:http';
+import type { PlainAnswer } from './buildRefusalAnswer.js';
+
+/**
+ * Writes a whole answer.
+ * @param outgoing - Answer to write to.
+ * @param answer - Status, headers and body; the length is added.
+ * @param last - The connection closes after it.
+ */
+export function writeAnswer(outgoing: ServerResponse, answer: PlainAnswer, last: boolean): void {
+  const headers = answer.headers.flat();
+  if (last) {
+    headers.push('connection', 'close');
+  }
+  if (answer.status !== 204 && answer.status !== 304) {
+    headers.push('content-length', String(answer.body.length));
+  }
+  outgoing.writeHead(answer.status, headers);
+  outgoing.end(answer.body);
+}
