--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -19,6 +19,11 @@
       'import-x/prefer-default-export': 'off',
       'no-await-in-loop': 'off',
       'no-param-reassign': ['error', { props: true, ignorePropertyModificationsFor: ['call'] }],
+      // The packages name the compiled files as their binaries.
+      'n/hashbang': [
+        'error',
+        { convertPath: { 'src/**/*.ts': ['^src/(.+)\\.ts$', 'dist/$1.js'] } },
+      ],
       'no-plusplus': ['error', { allowForLoopAfterthoughts: true }],
       'no-void': ['error', { allowAsStatement: true }],
       '@typescript-eslint/no-use-before-define': [
