Add the stand-ins for platform, backend server, callers, relay and baseline

Scenarios and experiments need outside parts whose faults can be switched on. The run log is kept outside the backend servers, so that a crash cannot hide a run, and attempts have ids of their own, so that a refusal as not run can be compared with what ran.

--- /dev/null
+++ b/packages/testkit/src/bin/forwarder.ts
@@ -0,0 +1,9 @@
+import * as fs from 'node:fs/promises';
+import * as forwarder from '../process/forwarder/index.js';
+
+// Runs the baseline's forwarder as a process of its own: forwarder.js OPTIONS.json.
+const text = await fs.readFile(process.argv[2] ?? '', 'utf8');
+const server = new forwarder.PlainForwarder(JSON.parse(text) as forwarder.ForwarderOptions);
+process.stdout.write(`${JSON.stringify({ address: await server.open() })}\n`);
+// eslint-disable-next-line n/no-process-exit -- open connections would keep the process alive
+process.once('SIGTERM', () => process.exit(0));
--- /dev/null
+++ b/packages/testkit/src/bin/platform.ts
@@ -0,0 +1,9 @@
+import * as platform from '../process/platform/index.js';
+
+// Runs the platform stand-in as a process of its own; prints its addresses as one JSON line.
+const server = new platform.PlatformServer();
+const control = new platform.PlatformControl(server);
+const address = await server.open('');
+process.stdout.write(`${JSON.stringify({ address, control: await control.open() })}\n`);
+// eslint-disable-next-line n/no-process-exit -- open connections would keep the process alive
+process.once('SIGTERM', () => process.exit(0));
--- /dev/null
+++ b/packages/testkit/src/connection/index.ts
@@ -0,0 +1,2 @@
+export * from './answerJson.js';
+export * from './openLoopback.js';
--- /dev/null
+++ b/packages/testkit/src/process/backend/BackendServer.ts
@@ -0,0 +1,192 @@
+import * as crypto from 'node:crypto';
+import * as http from 'node:http';
+import * as connection from '../../connection/index.js';
+import * as time from '../time/index.js';
+import type { BackendCall, BackendOptions, BackendRoute } from './backendOptions.js';
+import { BackendReporter } from './BackendReporter.js';
+import { callEgress } from './callEgress.js';
+import { matchBackendRoute } from './matchBackendRoute.js';
+
+/** Request that crashes the process that runs it; the run is recorded before. */
+export const CRASH_HEADER = 'x-testkit-crash';
+
+/** EX_SOFTWARE of sysexits, told apart from ordinary ends in logs. */
+export const CRASH_EXIT_CODE = 70;
+
+/** Faults that tests switch on. */
+export interface BackendFaults {
+  /** All work takes this many times as long. */
+  slowdown: number;
+  /** What `/health` says, whatever is true; undefined for the truth. */
+  health: 'healthy' | 'draining' | undefined;
+  draining: boolean;
+}
+
+/** What a request works on. */
+interface Work {
+  readonly route: BackendRoute;
+  readonly requestId: string;
+  readonly attemptId: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly signal: AbortSignal;
+}
+
+/** Stands for a backend server of one service: bounded slots, seeded service times, calls to deeper services. */
+export class BackendServer {
+  readonly #options: BackendOptions;
+
+  readonly #reporter: BackendReporter;
+
+  readonly #random: time.SeededRandom;
+
+  readonly #server: http.Server;
+
+  readonly #startedMs = performance.now();
+
+  readonly #counters = { ran: 0, shed: 0, cancelled: 0 };
+
+  #egress = '';
+
+  #running = 0;
+
+  readonly faults: BackendFaults = { slowdown: 1, health: undefined, draining: false };
+
+  constructor(options: BackendOptions) {
+    this.#options = options;
+    this.#reporter = new BackendReporter(options);
+    this.#random = new time.SeededRandom(options.seed);
+    this.#server = http.createServer((request, response) => {
+      this.#serve(request, response).catch(() => response.destroy());
+    });
+    this.#server.keepAliveTimeout = 60_000;
+  }
+
+  /** Opens the listener that the node calls. */
+  async open(): Promise<string> {
+    return connection.openLoopback(this.#server, this.#options.port);
+  }
+
+  /** Sets the origin of the egress listener of the node beside this backend server. */
+  setEgress(origin: string): void {
+    this.#egress = origin;
+  }
+
+  /** Sheds new work, waits until the node had time to see it and the running work is done. */
+  async drain(): Promise<void> {
+    this.faults.draining = true;
+    await time.waitFor(this.#options.drainMs);
+    while (this.#running > 0) {
+      await time.waitFor(20);
+    }
+  }
+
+  snapshot(): object {
+    return { ...this.#counters, running: this.#running, ...this.faults };
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await connection.closeServer(this.#server);
+  }
+
+  async #serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    if (request.url === '/health') {
+      const state = this.faults.health ?? (this.faults.draining ? 'draining' : 'healthy');
+      connection.answerJson(response, 200, { state });
+      return;
+    }
+    const body = await connection.collectBody(request);
+    const route = matchBackendRoute(this.#options.routes, request.method ?? '', request.url ?? '');
+    if (route === undefined) {
+      connection.answerJson(response, 404, { error: 'no such route' });
+      return;
+    }
+    if (this.faults.draining || this.#running >= this.#options.slots) {
+      this.#counters.shed += 1;
+      connection.answerJson(response, 503, {}, { 'tanagerpond-shed': 'not-run' });
+      return;
+    }
+    this.#running += 1;
+    try {
+      await this.#run(request, response, route, body);
+    } finally {
+      this.#running -= 1;
+    }
+  }
+
+  async #run(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    route: BackendRoute,
+    body: Buffer,
+  ): Promise<void> {
+    const cancellation = new AbortController();
+    response.once('close', () => cancellation.abort());
+    const { headers } = request;
+    const requestId = String(headers['x-request-id'] ?? '');
+    const attemptId = String(headers['x-attempt-id'] ?? requestId);
+    await this.#reporter.recordRun({ request, route, body, requestId, attemptId });
+    this.#counters.ran += 1;
+    if (headers[CRASH_HEADER] !== undefined) {
+      // eslint-disable-next-line n/no-process-exit -- the crash is the purpose
+      process.exit(CRASH_EXIT_CODE);
+    }
+    const deadline = Number(headers['tanagerpond-deadline-ms'] ?? Infinity);
+    const signal = Number.isFinite(deadline)
+      ? AbortSignal.any([cancellation.signal, AbortSignal.timeout(Math.max(1, deadline))])
+      : cancellation.signal;
+    const status = await this.#work({ route, requestId, attemptId, headers, signal });
+    if (cancellation.signal.aborted) {
+      this.#counters.cancelled += 1;
+      return;
+    }
+    connection.answerJson(response, signal.aborted ? 504 : status, {
+      requestId,
+      bodyDigest: crypto.createHash('sha256').update(body).digest('hex'),
+      vm: this.#options.vm,
+      filler: 'x'.repeat(this.#options.answerBytes),
+    });
+  }
+
+  /** Half of the own work comes before the calls and half after them. */
+  async #work(work: Work): Promise<number> {
+    await this.#spend(work.route.serviceMs / 2, work.signal);
+    let status = 200;
+    for (let index = 0; index < work.route.calls.length && status === 200; index++) {
+      if (work.signal.aborted) {
+        return 504;
+      }
+      status = await this.#call(work, work.route.calls[index], index);
+    }
+    await this.#spend(work.route.serviceMs / 2, work.signal);
+    return status === 200 ? 200 : 502;
+  }
+
+  async #call(work: Work, call: BackendCall, index: number): Promise<number> {
+    const suffix = `/${index}.${call.route}`;
+    const target = call.target.replaceAll(/:[^/]+/g, () => this.#pickNumber());
+    const answer = await callEgress({
+      origin: this.#egress,
+      method: call.method,
+      target,
+      requestId: work.requestId + suffix,
+      attemptId: work.attemptId + suffix,
+      parent: work.headers,
+      signal: work.signal,
+    });
+    if (answer.outcome === 'not-run') {
+      await this.#reporter.recordRefusal(work.attemptId + suffix);
+    }
+    return answer.status;
+  }
+
+  #pickNumber(): string {
+    return String(Math.floor(this.#random.next() * 1_000));
+  }
+
+  async #spend(meanMs: number, signal: AbortSignal): Promise<void> {
+    const isCold = performance.now() - this.#startedMs < this.#options.coldMs;
+    const factor = this.faults.slowdown * (isCold ? this.#options.coldFactor : 1);
+    const spread = 0.5 + this.#random.pickExponential(0.5);
+    await time.waitFor(meanMs * spread * factor, signal);
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/process/backend/index.ts
@@ -0,0 +1,3 @@
+export * from './BackendControl.js';
+export * from './backendOptions.js';
+export * from './BackendServer.js';
--- /dev/null
+++ b/packages/testkit/src/process/caller/index.ts
@@ -0,0 +1,4 @@
+export * from './CallerLoad.js';
+export * from './callerOptions.js';
+export * from './collectSummary.js';
+export * from './RequestRecord.js';
--- /dev/null
+++ b/packages/testkit/src/process/collector/RunCollector.ts
@@ -0,0 +1,99 @@
+import * as http from 'node:http';
+import * as z from 'zod';
+import * as connection from '../../connection/index.js';
+
+const runSchema = z.object({
+  requestId: z.string(),
+  attemptId: z.string(),
+  route: z.string(),
+  repeatable: z.boolean(),
+  workspace: z.string(),
+  vm: z.string(),
+  keySeen: z.boolean(),
+});
+const refusalSchema = z.object({ attemptId: z.string() });
+
+/** One run of a request at a backend server, recorded before the work began. */
+export type Run = Readonly<z.infer<typeof runSchema>> & {
+  /** Monotonic time of the collector's process, in milliseconds. */
+  readonly atMs: number;
+};
+
+/** Keeps the run log outside the backend servers, so that it survives their crashes. */
+export class RunCollector {
+  readonly #server: http.Server;
+
+  readonly #runs: Run[] = [];
+
+  readonly #runsByRequest = new Map<string, number>();
+
+  readonly #attempts = new Set<string>();
+
+  readonly #childRefusals: string[] = [];
+
+  #keysSeen = 0;
+
+  constructor() {
+    this.#server = http.createServer((request, response) => {
+      void this.#serve(request, response);
+    });
+    this.#server.keepAliveTimeout = 60_000;
+  }
+
+  /** Opens the collector on a free loopback port. */
+  async open(): Promise<string> {
+    return connection.openLoopback(this.#server);
+  }
+
+  /** Every run so far, in order of arrival. */
+  get runs(): readonly Run[] {
+    return this.#runs;
+  }
+
+  /** Requests that carried something of key shape to a backend server. */
+  get keysSeen(): number {
+    return this.#keysSeen;
+  }
+
+  /** Lists the ids of non-repeatable requests that ran more than once. */
+  listRanTwice(): readonly string[] {
+    return [...this.#runsByRequest].filter(([, count]) => count > 1).map(([id]) => id);
+  }
+
+  /**
+   * Lists the attempts that were reported as not run although a backend server ran them.
+   * @param refused - Attempt ids of callers; those of backend servers' own calls are added.
+   */
+  listNotRunButRan(refused: readonly string[]): readonly string[] {
+    return [...refused, ...this.#childRefusals].filter((id) => this.#attempts.has(id));
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await connection.closeServer(this.#server);
+  }
+
+  async #serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    try {
+      const value: unknown = JSON.parse((await connection.collectBody(request)).toString());
+      if (request.url === '/refused') {
+        this.#childRefusals.push(refusalSchema.parse(value).attemptId);
+      } else {
+        this.#record({ ...runSchema.parse(value), atMs: performance.now() });
+      }
+      connection.answerJson(response, 200, {});
+    } catch (error) {
+      connection.answerJson(response, 400, { error: String(error) });
+    }
+  }
+
+  #record(run: Run): void {
+    this.#runs.push(run);
+    this.#attempts.add(run.attemptId);
+    if (run.keySeen) {
+      this.#keysSeen += 1;
+    }
+    if (!run.repeatable) {
+      this.#runsByRequest.set(run.requestId, (this.#runsByRequest.get(run.requestId) ?? 0) + 1);
+    }
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/process/collector/index.ts
@@ -0,0 +1,1 @@
+export * from './RunCollector.js';
--- /dev/null
+++ b/packages/testkit/src/process/forwarder/index.ts
@@ -0,0 +1,1 @@
+export * from './PlainForwarder.js';
--- /dev/null
+++ b/packages/testkit/src/process/platform/index.ts
@@ -0,0 +1,2 @@
+export * from './PlatformControl.js';
+export * from './PlatformServer.js';
--- /dev/null
+++ b/packages/testkit/src/process/relay/index.ts
@@ -0,0 +1,1 @@
+export * from './LinkRelay.js';
--- /dev/null
+++ b/packages/testkit/src/process/time/index.ts
@@ -0,0 +1,2 @@
+export * from './SeededRandom.js';
+export * from './waitFor.js';
--- /dev/null
+++ b/packages/testkit/test/backend.test.ts
@@ -0,0 +1,96 @@
+import * as childProcess from 'node:child_process';
+import { once } from 'node:events';
+import * as fs from 'node:fs/promises';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as url from 'node:url';
+import { expect } from 'chai';
+import * as undici from 'undici';
+import * as bundle from '@tanagerpond/bundle';
+import { backend, collector, time } from '../src/index.js';
+
+function buildOptions(origin: string, serviceMs: number): backend.BackendOptions {
+  const route = { method: 'POST', repeatable: false, serviceMs, calls: [] };
+  return backend.backendOptionsSchema.parse({
+    vm: 'deep-1',
+    service: 'deep',
+    slots: 1,
+    seed: 1,
+    collector: origin,
+    routes: [{ ...route, name: 'deep.take', path: '/items/:id/take' }],
+  });
+}
+
+async function send(address: string, id: string, headers: Record<string, string> = {}) {
+  return undici.request(`http://${address}/items/4/take`, {
+    method: 'POST',
+    headers: { 'x-request-id': id, 'x-attempt-id': `${id}.1`, ...headers },
+    body: 'body',
+  });
+}
+
+describe('BackendServer', () => {
+  it('guards against work beyond the slots and a shed request that counts as run', async () => {
+    await using runs = new collector.RunCollector();
+    await using server = new backend.BackendServer(
+      buildOptions(`http://${await runs.open()}`, 300),
+    );
+    const address = await server.open();
+    const running = send(address, 'first');
+    await time.waitFor(60);
+    const shed = await send(address, 'second');
+    expect(shed.statusCode).to.equal(503);
+    expect(shed.headers['tanagerpond-shed']).to.equal('not-run');
+    expect((await running).statusCode).to.equal(200);
+    expect(runs.runs.map((run) => run.requestId)).to.deep.equal(['first']);
+    expect(runs.listNotRunButRan(['second.1', 'first.1'])).to.deep.equal(['first.1']);
+  });
+
+  it('guards against a double run or a key in the URL that stays unseen', async () => {
+    await using runs = new collector.RunCollector();
+    await using server = new backend.BackendServer(buildOptions(`http://${await runs.open()}`, 1));
+    const address = await server.open();
+    await send(address, 'same');
+    await send(address, 'same', { 'x-note': bundle.createKey() });
+    expect(runs.listRanTwice()).to.deep.equal(['same']);
+    expect(runs.keysSeen).to.equal(1);
+  });
+
+  it('guards against a slot that a cancelled request keeps', async () => {
+    await using runs = new collector.RunCollector();
+    await using server = new backend.BackendServer(
+      buildOptions(`http://${await runs.open()}`, 60_000),
+    );
+    const address = await server.open();
+    const cancel = new AbortController();
+    const cancelled = undici
+      .request(`http://${address}/items/4/take`, { method: 'POST', signal: cancel.signal })
+      .catch((error: Error) => error.name);
+    await time.waitFor(60);
+    cancel.abort();
+    expect(await cancelled).to.equal('AbortError');
+    await time.waitFor(60);
+    expect(server.snapshot()).to.include({ running: 0, cancelled: 1 });
+  });
+
+  it('guards against a run that is lost when the process crashes', async () => {
+    await using runs = new collector.RunCollector();
+    const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'scenario-backend-'));
+    const file = path.join(folder, 'options.json');
+    await fs.writeFile(file, JSON.stringify(buildOptions(`http://${await runs.open()}`, 1)));
+    const bin = url.fileURLToPath(new URL('../dist/bin/backend.js', import.meta.url));
+    const child = childProcess.spawn(process.execPath, [bin, file], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    const ended = once(child, 'exit');
+    const [line] = (await once(child.stdout, 'data')) as [Buffer];
+    const { address } = JSON.parse(line.toString()) as { address: string };
+    const answer = await send(address, 'poison', { [backend.CRASH_HEADER]: '1' }).catch(
+      () => 'broken',
+    );
+    await fs.rm(folder, { recursive: true });
+    expect(answer).to.equal('broken');
+    expect(await ended).to.deep.equal([backend.CRASH_EXIT_CODE, null]);
+    expect(runs.runs.map((run) => run.attemptId)).to.deep.equal(['poison.1']);
+  });
+});
