--- /dev/null
+++ b/packages/scenario/src/process/fleet/Fleet.ts
@@ -0,0 +1,118 @@
+import * as fs from 'node:fs/promises';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import { collector } from '@tanagerpond/testkit';
+import { buildBackendOptions, type BackendTuning } from './buildBackendOptions.js';
+import type { Deployment } from './Deployment.js';
+import { LinkTable } from './LinkTable.js';
+import { Platform } from './Platform.js';
+import { VirtualMachine } from './VirtualMachine.js';
+
+export interface FleetOptions {
+  readonly deployment: Deployment;
+  readonly tuning: BackendTuning;
+  /** Every peer connection goes through a relay that can cut it. */
+  readonly hasRelays: boolean;
+}
+
+/** State of a VM in the platform's list; an absent VM is not listed. */
+export type ListState = 'live' | 'leaving' | 'absent';
+
+/** Platform, run collector, and one backend server and node for every VM. Owns everything that it starts. */
+export class Fleet {
+  readonly runs = new collector.RunCollector();
+
+  readonly links = new LinkTable();
+
+  readonly vms = new Map<string, VirtualMachine>();
+
+  readonly #options: FleetOptions;
+
+  readonly #listStates = new Map<string, ListState>();
+
+  #platform: Platform | undefined;
+
+  #folder = '';
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+  }
+
+  get deployment(): Deployment {
+    return this.#options.deployment;
+  }
+
+  get platform(): Platform {
+    return this.#platform!;
+  }
+
+  /** Starts everything and publishes the bundle and the list; what started stays owned when a part fails. */
+  async start(): Promise<void> {
+    this.#folder = await fs.mkdtemp(path.join(os.tmpdir(), 'tanagerpond-scenario-'));
+    const collectorAddress = await this.runs.open();
+    this.#platform = await Platform.start();
+    await this.publishBundle();
+    await Promise.all(
+      this.deployment.vms.map(async (plan, index) => {
+        const vm = new VirtualMachine(plan, {
+          folder: this.#folder,
+          platform: await this.platform.openReader(plan.name),
+          publicKey: this.deployment.publicKey,
+          backendOptions: buildBackendOptions(this.deployment, plan, {
+            ...this.#options.tuning,
+            collector: `http://${collectorAddress}`,
+            seed: this.#options.tuning.seed + index,
+          }),
+        });
+        this.vms.set(plan.name, vm);
+        await vm.startBackend();
+        await vm.startNode();
+      }),
+    );
+    if (this.#options.hasRelays) {
+      await this.links.open(this.#collectPeers());
+    }
+    await this.publishList();
+  }
+
+  /** Signs the present sections and publishes them. */
+  async publishBundle(): Promise<void> {
+    await this.platform.send('/bundle', this.deployment.sign());
+  }
+
+  /** Publishes the VM list with the states that were set. */
+  async publishList(): Promise<void> {
+    const vms = [...this.vms.values()].flatMap(({ plan, listeners }) => {
+      const state = this.#listStates.get(plan.name) ?? 'live';
+      return state === 'absent' ? [] : [{ ...plan, peerAddress: listeners.peer, state }];
+    });
+    await this.platform.send('/vms', { vms, addresses: this.links.addresses });
+  }
+
+  /** Sets the state in which the list shows a VM. */
+  async setListState(vm: string, state: ListState): Promise<void> {
+    this.#listStates.set(vm, state);
+    await this.publishList();
+  }
+
+  /** Lists the caller listeners of all VMs, or of the named ones. */
+  listEntries(names?: readonly string[]): readonly string[] {
+    return [...this.vms.values()]
+      .filter((vm) => names === undefined || names.includes(vm.plan.name))
+      .map((vm) => vm.listeners.caller);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await Promise.all([...this.vms.values()].map((vm) => vm[Symbol.asyncDispose]()));
+    await this.links[Symbol.asyncDispose]();
+    await this.#platform?.[Symbol.asyncDispose]();
+    await this.runs[Symbol.asyncDispose]();
+    if (this.#folder !== '') {
+      await fs.rm(this.#folder, { recursive: true, force: true });
+    }
+  }
+
+  #collectPeers(): ReadonlyMap<string, string> {
+    return new Map([...this.vms].map(([name, vm]) => [name, vm.listeners.peer]));
+  }
+}
--- /dev/null
+++ b/packages/scenario/src/process/fleet/VirtualMachine.ts
@@ -0,0 +1,136 @@
+import * as fs from 'node:fs/promises';
+import * as path from 'node:path';
+import type { backend } from '@tanagerpond/testkit';
+import type { PlannedVm } from './Deployment.js';
+import { FREE_LISTENERS, formatNodeSettings, type ListenerName } from './formatNodeSettings.js';
+import { ManagedProcess } from './ManagedProcess.js';
+import { SCRIPTS } from './scripts.js';
+import { sendControl } from './sendControl.js';
+
+/** What one VM needs to know to start its two processes. */
+export interface VmSetup {
+  readonly folder: string;
+  readonly platform: string;
+  readonly publicKey: string;
+  readonly backendOptions: backend.BackendOptions;
+}
+
+/** One VM: a backend server and the node beside it, as two processes. */
+export class VirtualMachine {
+  readonly plan: PlannedVm;
+
+  readonly #setup: VmSetup;
+
+  #node: ManagedProcess | undefined;
+
+  #backend: ManagedProcess | undefined;
+
+  #backendAddress = '';
+
+  #backendControl = '';
+
+  #listeners: Readonly<Record<ListenerName, string>> = FREE_LISTENERS;
+
+  #isFrozen = false;
+
+  constructor(plan: PlannedVm, setup: VmSetup) {
+    this.plan = plan;
+    this.#setup = setup;
+  }
+
+  get node(): ManagedProcess | undefined {
+    return this.#node;
+  }
+
+  get backend(): ManagedProcess | undefined {
+    return this.#backend;
+  }
+
+  /** Addresses of the node; they stay over restarts. */
+  get listeners(): Readonly<Record<ListenerName, string>> {
+    return this.#listeners;
+  }
+
+  get backendAddress(): string {
+    return this.#backendAddress;
+  }
+
+  /** The node runs and is not frozen. */
+  get isServing(): boolean {
+    return this.#node?.isRunning === true && !this.#isFrozen;
+  }
+
+  /** Starts the backend server, where it was before if this is a restart. */
+  async startBackend(): Promise<void> {
+    const port = Number(this.#backendAddress.split(':')[1] ?? 0);
+    const file = path.join(this.#setup.folder, `${this.plan.name}.json`);
+    await fs.writeFile(file, JSON.stringify({ ...this.#setup.backendOptions, port }));
+    this.#backend = new ManagedProcess(`backend ${this.plan.name}`, SCRIPTS.backend, [file]);
+    const { address, control } = await this.#backend.waitReady();
+    this.#backendAddress = String(address);
+    this.#backendControl = String(control);
+    if (this.#listeners !== FREE_LISTENERS) {
+      await this.connectBackend();
+    }
+  }
+
+  /** Starts the node, where it was before if this is a restart. */
+  async startNode(): Promise<void> {
+    const file = path.join(this.#setup.folder, `${this.plan.name}.ini`);
+    const settings = formatNodeSettings({
+      ...this.plan,
+      vm: this.plan.name,
+      platform: this.#setup.platform,
+      publicKey: this.#setup.publicKey,
+      backend: this.#backendAddress,
+      listeners: this.#listeners,
+    });
+    await fs.writeFile(file, settings);
+    this.#isFrozen = false;
+    this.#node = new ManagedProcess(`node ${this.plan.name}`, SCRIPTS.node, [file]);
+    this.#listeners = readListeners(await this.#node.waitReady());
+    await this.connectBackend();
+  }
+
+  /** Tells the backend server where its node takes outgoing calls. */
+  async connectBackend(): Promise<void> {
+    await this.sendBackend('/egress', { origin: `http://${this.#listeners.egress}` });
+  }
+
+  /** Sends a command to the control endpoint of the backend server. */
+  async sendBackend(command: string, body?: unknown): Promise<unknown> {
+    return sendControl(this.#backendControl, command, body);
+  }
+
+  /** Reads the state dump of the node; undefined when it does not answer. */
+  async readState(): Promise<Readonly<Record<string, unknown>> | undefined> {
+    try {
+      return (await sendControl(this.#listeners.admin, '/state')) as Record<string, unknown>;
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** Freezes or resumes the node. */
+  pauseNode(isFrozen: boolean): void {
+    this.#isFrozen = isFrozen;
+    this.#node?.send(isFrozen ? 'SIGSTOP' : 'SIGCONT');
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await Promise.all([
+      this.#node?.[Symbol.asyncDispose](),
+      this.#backend?.[Symbol.asyncDispose](),
+    ]);
+  }
+}
+
+function readListeners(ready: Readonly<Record<string, unknown>>): Record<ListenerName, string> {
+  const read = (name: ListenerName) => String(ready[name]);
+  return {
+    caller: read('caller'),
+    egress: read('egress'),
+    peer: read('peer'),
+    admin: read('admin'),
+  };
+}
--- /dev/null
+++ b/packages/scenario/src/process/fleet/scripts.ts
@@ -0,0 +1,17 @@
+import * as url from 'node:url';
+
+/** Processes that a fleet consists of; the compiled scripts run without a loader. */
+export const SCRIPTS = {
+  platform: resolveScript('@tanagerpond/testkit', 'bin/platform.js'),
+  backend: resolveScript('@tanagerpond/testkit', 'bin/backend.js'),
+  forwarder: resolveScript('@tanagerpond/testkit', 'bin/forwarder.js'),
+  node: resolveScript('@tanagerpond/node', 'bin/tanagerpondNode.js'),
+} as const;
+
+/** The root of the repository, where `examples`, `scenarios` and `experiments` are. */
+export const REPOSITORY_FOLDER = url.fileURLToPath(new URL('../../../../../', import.meta.url));
+
+function resolveScript(packageName: string, script: string): string {
+  const name = packageName.slice(packageName.indexOf('/') + 1);
+  return url.fileURLToPath(new URL(`../../../../${name}/dist/${script}`, import.meta.url));
+}
--- /dev/null
+++ b/packages/scenario/src/process/language/Statement.ts
@@ -0,0 +1,120 @@
+import type { caller } from '@tanagerpond/testkit';
+
+/** How requests of a load ended; `sent` counts all of them. */
+export type Ending = caller.RequestEnd | 'sent';
+
+export type Comparison = '<=' | '>=' | '<' | '>' | '=';
+
+/** A measured value of an `expect` statement. Times are in milliseconds. */
+export type Measure =
+  | { readonly kind: 'fraction' | 'count' | 'rate'; readonly ending: Ending; readonly load: string }
+  | {
+      readonly kind: 'recent';
+      readonly ending: Ending;
+      readonly load: string;
+      readonly durationMs: number;
+    }
+  | {
+      readonly kind:
+        | 'doubleRuns'
+        | 'notRunButRan'
+        | 'keysSeen'
+        | 'wrong'
+        | 'inversions'
+        | 'takeEffect'
+        | 'reads'
+        | 'crashed'
+        | 'endedNodes';
+    }
+  | { readonly kind: 'refusals'; readonly reason: string; readonly load: string }
+  | { readonly kind: 'refusedInside' | 'attempts'; readonly load: string }
+  | { readonly kind: 'runsPerRequest'; readonly route: string; readonly load: string }
+  | { readonly kind: 'runs'; readonly route: string }
+  | { readonly kind: 'workAfterLeaving'; readonly vm: string; readonly durationMs: number }
+  | { readonly kind: 'withdrawal'; readonly workspace: string }
+  | { readonly kind: 'latency'; readonly percentile: 'p50' | 'p99'; readonly load: string };
+
+/** Where a load puts its key besides the `authorization` header. */
+export type KeyPlace = 'header' | 'query' | 'encoded query' | 'body';
+
+export type LoadOption =
+  | { readonly kind: 'retrying'; readonly times: number }
+  | { readonly kind: 'through'; readonly vms: readonly string[] }
+  | { readonly kind: 'noKey' | 'unknownKey' }
+  | { readonly kind: 'exposing'; readonly place: KeyPlace }
+  | { readonly kind: 'bodies'; readonly bytes: number }
+  | { readonly kind: 'timeout'; readonly durationMs: number };
+
+/** VMs named one by one or by failure domain. */
+export type Party =
+  { readonly kind: 'vm' | 'domain'; readonly name: string } | { readonly kind: 'everything' };
+
+export type ChangeVerb = 'start' | 'stop' | 'kill' | 'freeze' | 'resume';
+export type ChangePart = 'node of' | 'backend server of' | 'VM';
+export type PlatformState = 'stops' | 'goes silent' | 'goes stale' | 'resumes';
+
+/** What a line of a scenario says. Times are in milliseconds. */
+export type Action =
+  | {
+      readonly kind: 'deployment';
+      readonly name: string;
+      readonly vmsPerService: number;
+      readonly failureDomains: number;
+    }
+  | {
+      readonly kind: 'set' | 'rollOut';
+      readonly section: string;
+      readonly key: string;
+      readonly value: string;
+    }
+  | { readonly kind: 'work'; readonly route: string; readonly durationMs: number }
+  | { readonly kind: 'cold' | 'wait' | 'lag'; readonly durationMs: number }
+  | { readonly kind: 'startFleet' | 'waitLoads' | 'heal' }
+  | {
+      readonly kind: 'load';
+      readonly name: string;
+      readonly workspace: string;
+      readonly routes: readonly string[];
+      readonly ratePerSecond: number;
+      readonly durationMs: number;
+      readonly options: readonly LoadOption[];
+    }
+  | { readonly kind: 'waitLoad' | 'stopLoad'; readonly load: string }
+  | {
+      readonly kind: 'change';
+      readonly verb: ChangeVerb;
+      readonly part: ChangePart;
+      readonly vm: string;
+    }
+  | {
+      readonly kind: 'cut';
+      readonly left: Party;
+      readonly right: Party;
+      readonly manner: 'silently' | 'refusing';
+    }
+  | { readonly kind: 'platform'; readonly state: PlatformState }
+  | {
+      readonly kind: 'listed';
+      readonly vm: string;
+      readonly state: 'live' | 'leaving' | 'absent';
+    }
+  | { readonly kind: 'withdraw'; readonly workspace: string }
+  | {
+      readonly kind: 'crash';
+      readonly route: string;
+      readonly workspace: string;
+      readonly times: number;
+    }
+  | { readonly kind: 'slow'; readonly service: string; readonly factor: number }
+  | { readonly kind: 'health'; readonly vm: string; readonly state: 'healthy' | 'draining' }
+  | {
+      readonly kind: 'expect';
+      readonly measure: Measure;
+      readonly comparison: Comparison;
+      readonly value: number;
+      /** Time for which the value is measured again until it holds. */
+      readonly withinMs: number;
+    };
+
+/** One line of a scenario. */
+export type Statement = Action & { readonly line: number; readonly text: string };
--- /dev/null
+++ b/packages/scenario/src/process/language/buildAction.ts
@@ -0,0 +1,177 @@
+import type * as ohm from 'ohm-js';
+import { grammar } from './grammar.js';
+import type { Action, Comparison, Ending, LoadOption, Measure, Party } from './Statement.js';
+
+const MS_PER_UNIT: Readonly<Record<string, number>> = { ms: 1, s: 1_000 };
+const ENDINGS: Readonly<Record<string, Ending>> = { 'refused not run': 'refusedNotRun' };
+const DEFAULT_FAILURE_DOMAINS = 2;
+
+type Node = ohm.Node;
+
+const semantics = grammar.createSemantics();
+
+/** Builds the value of a node; statements become an `Action`. */
+semantics.addOperation<unknown>('build', {
+  Deployment: (_d, name, _w, count, _v, _p, _s, domains) => ({
+    kind: 'deployment',
+    name: take(name),
+    vmsPerService: take(count),
+    failureDomains: takeFirst(domains) ?? DEFAULT_FAILURE_DOMAINS,
+  }),
+  DomainCount: (_i, count, _f, _d) => take(count),
+  Set: (_s, section, key, _e, value) => buildSetting('set', section, key, value),
+  RollOut: (_r, _o, section, key, _e, value) => buildSetting('rollOut', section, key, value),
+  Work: (_w, _o, route, _t, duration) => ({
+    kind: 'work',
+    route: take(route),
+    durationMs: take(duration),
+  }),
+  Cold: (_b, _s, _t, _c, _f, duration) => ({ kind: 'cold', durationMs: take(duration) }),
+  StartFleet: (_s, _f) => ({ kind: 'startFleet' }),
+  Load: (_l, name, _o, workspace, _n, routes, _a, rate, _p, _s, _f, duration, options) => ({
+    kind: 'load',
+    name: take(name),
+    workspace: take(workspace),
+    routes: takeList(routes),
+    ratePerSecond: take(rate),
+    durationMs: take(duration),
+    options: take(options),
+  }),
+  LoadOptions: (options) => options.children.map((option) => take<LoadOption>(option)),
+  LoadOption_retrying: (_r, times, _t) => ({ kind: 'retrying', times: take(times) }),
+  LoadOption_through: (_t, vms) => ({ kind: 'through', vms: takeList(vms) }),
+  LoadOption_noKey: (_w, _n, _k) => ({ kind: 'noKey' }),
+  LoadOption_unknownKey: (_w, _a, _u, _k) => ({ kind: 'unknownKey' }),
+  LoadOption_exposing: (_e, _t, _k, _i, place) => ({ kind: 'exposing', place: place.sourceString }),
+  LoadOption_bodies: (_w, _b, _o, bytes, _u) => ({ kind: 'bodies', bytes: take(bytes) }),
+  LoadOption_timeout: (_g, _u, _a, duration) => ({ kind: 'timeout', durationMs: take(duration) }),
+  StopLoad: (_e, _l, load) => ({ kind: 'stopLoad', load: take(load) }),
+  Wait_load: (_w, _f, _l, load) => ({ kind: 'waitLoad', load: take(load) }),
+  Wait_loads: (_w, _f, _a, _l) => ({ kind: 'waitLoads' }),
+  Wait_time: (_w, duration) => ({ kind: 'wait', durationMs: take(duration) }),
+  Change: (verb, part, vm) => ({
+    kind: 'change',
+    verb: verb.sourceString,
+    part: part.sourceString,
+    vm: take(vm),
+  }),
+  Cut: (_c, left, _f, right, manner) => ({
+    kind: 'cut',
+    left: take<Party>(left),
+    right: take<Party>(right),
+    manner: manner.sourceString,
+  }),
+  Party_vm: (_v, name) => ({ kind: 'vm', name: take(name) }),
+  Party_domain: (_f, _d, name) => ({ kind: 'domain', name: take(name) }),
+  Party_everything: (_e) => ({ kind: 'everything' }),
+  Heal: (_h, _a, _l) => ({ kind: 'heal' }),
+  Platform: (_p, state) => ({ kind: 'platform', state: state.sourceString }),
+  Lag: (_l, _a, duration) => ({ kind: 'lag', durationMs: take(duration) }),
+  Listed: (_l, _s, vm, _a, state) => ({ kind: 'listed', vm: take(vm), state: state.sourceString }),
+  Withdraw: (_w, _k, _o, workspace) => ({ kind: 'withdraw', workspace: take(workspace) }),
+  Crash: (_c, _r, _t, route, _o, workspace, times, _n) => ({
+    kind: 'crash',
+    route: take(route),
+    workspace: take(workspace),
+    times: take(times),
+  }),
+  Slow: (_s, _d, service, _b, factor) => ({
+    kind: 'slow',
+    service: take(service),
+    factor: take(factor),
+  }),
+  Health: (_h, _o, vm, _s, state) => ({ kind: 'health', vm: take(vm), state: state.sourceString }),
+  Expect: (_e, measure, comparison, value, within) => ({
+    kind: 'expect',
+    measure: take<Measure>(measure),
+    comparison: comparison.sourceString as Comparison,
+    value: take(value),
+    withinMs: takeFirst(within) ?? 0,
+  }),
+  Within: (_w, duration) => take(duration),
+  Measure_fraction: (ending, _f, _o, load) => buildEnding('fraction', ending, load),
+  Measure_count: (ending, _o, load) => buildEnding('count', ending, load),
+  Measure_rate: (ending, _p, _s, _o, load) => buildEnding('rate', ending, load),
+  Measure_recent: (ending, _o, load, _i, _t, _l, duration) => ({
+    ...buildEnding('recent', ending, load),
+    durationMs: take(duration),
+  }),
+  Measure_doubleRuns: (_d, _r) => ({ kind: 'doubleRuns' }),
+  Measure_notRunButRan: (_r, _b, _n, _u) => ({ kind: 'notRunButRan' }),
+  Measure_keysSeen: (_k, _s) => ({ kind: 'keysSeen' }),
+  Measure_wrong: (_w, _a) => ({ kind: 'wrong' }),
+  Measure_refusals: (_r, reason, _o, load) => ({
+    kind: 'refusals',
+    reason: take(reason),
+    load: take(load),
+  }),
+  Measure_refusedInside: (_r, _i, _t, _a, _o, load) => ({
+    kind: 'refusedInside',
+    load: take(load),
+  }),
+  Measure_attempts: (_a, _p, _r, _o, load) => ({ kind: 'attempts', load: take(load) }),
+  Measure_runsPerRequest: (_r, _o, route, _p, _q, _f, load) => ({
+    kind: 'runsPerRequest',
+    route: take(route),
+    load: take(load),
+  }),
+  Measure_runs: (_r, _o, route) => ({ kind: 'runs', route: take(route) }),
+  Measure_workAfterLeaving: (_w, _a, vm, duration, _f, _l) => ({
+    kind: 'workAfterLeaving',
+    vm: take(vm),
+    durationMs: take(duration),
+  }),
+  Measure_inversions: (_i, _r, _s, _b, _l, _o) => ({ kind: 'inversions' }),
+  Measure_takeEffect: (_t, _o, _k, _e) => ({ kind: 'takeEffect' }),
+  Measure_withdrawal: (_t, _u, _w, _o, workspace, _h) => ({
+    kind: 'withdrawal',
+    workspace: take(workspace),
+  }),
+  Measure_reads: (_p, _r, _e, _s) => ({ kind: 'reads' }),
+  Measure_crashed: (_c, _b, _s) => ({ kind: 'crashed' }),
+  Measure_endedNodes: (_e, _n) => ({ kind: 'endedNodes' }),
+  Measure_latency: (_l, percentile, _o, load) => ({
+    kind: 'latency',
+    percentile: percentile.sourceString,
+    load: take(load),
+  }),
+  header: (_o, text, _c) => text.sourceString.trim(),
+  text: (text) => text.sourceString.trim(),
+  name: (first, rest) => first.sourceString + rest.sourceString,
+  integer: (digits) => Number(digits.sourceString),
+  number(_w, _d, _f) {
+    return Number(this.sourceString);
+  },
+  percent: (value, _p) => take<number>(value) / 100,
+  duration: (value, _s, unit) => take<number>(value) * (MS_PER_UNIT[unit.sourceString] ?? 1),
+});
+
+/**
+ * Builds the action of a matched statement.
+ * @param match - Successful match of the grammar.
+ */
+export function buildAction(match: ohm.MatchResult): Action {
+  return semantics(match).build() as Action;
+}
+
+function take<T = unknown>(node: Node): T {
+  return node.build() as T;
+}
+
+function takeFirst(option: Node): unknown {
+  const [first] = option.children;
+  return first === undefined ? undefined : take(first);
+}
+
+function takeList(list: Node): readonly unknown[] {
+  return list.asIteration().children.map((child) => take(child));
+}
+
+function buildSetting(kind: 'set' | 'rollOut', section: Node, key: Node, value: Node): object {
+  return { kind, section: take(section), key: take(key), value: take(value) };
+}
+
+function buildEnding(kind: string, ending: Node, load: Node): object {
+  const text = ending.sourceString;
+  return { kind, ending: ENDINGS[text] ?? text, load: take(load) };
+}
