Run the node process on the node machine

Signing keys in the settings take the form that the bundle commands print, 43 base64url characters. The empty body name of the decisions stands for an empty body; a name that is not kept stays an error.

--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -1,6 +1,6 @@
 import { performance } from 'node:perf_hooks';
+import { node } from '@tanagerpond/core';
 import { cac } from 'cac';
-import { StartingDecisions } from '../process/decisions/index.js';
 import { NodeProcess } from '../process/host/index.js';
 import { createLogger } from '../process/log/index.js';
 import { loadSettings } from '../process/settings/index.js';
@@ -47,7 +47,14 @@
   await using host = new NodeProcess({
     settings,
     log,
-    createDecisions: () => new StartingDecisions(),
+    createDecisions: ({ self, startedMs }) =>
+      new node.NodeMachine({
+        self,
+        startedMs,
+        random: { next: () => Math.random() },
+        trustedKeys: settings.trust.signingKeys,
+        drainLimitMs: settings.drain.limitMs,
+      }),
   });
   process.once('SIGTERM', () => host.drain());
   process.once('SIGINT', () => host.drain());
--- a/packages/node/src/process/bodies/BodyStore.ts
+++ b/packages/node/src/process/bodies/BodyStore.ts
@@ -16,6 +16,11 @@
   references: number;
 }
 
+/** Name by which the decisions say that there is no body. */
+const NO_BODY = '';
+
+const EMPTY_BODY: HeldBody = { bytes: Buffer.alloc(0), release: () => undefined };
+
 /** Names shown in the state dump. */
 const SNAPSHOT_NAMES = 32;
 
@@ -73,9 +78,12 @@
   /**
    * Holds a kept body beyond the release of its name.
    * @param name - Request id or call id.
-   * @returns Undefined when nothing is kept under the name.
+   * @returns Undefined when nothing is kept under the name; an empty body for the empty name.
    */
   take(name: string): HeldBody | undefined {
+    if (name === NO_BODY) {
+      return EMPTY_BODY;
+    }
     const body = this.#bodies.get(name);
     if (body === undefined) {
       return undefined;
--- a/packages/node/src/process/decisions/index.ts
+++ b/packages/node/src/process/decisions/index.ts
@@ -1,3 +1,2 @@
 export type { Decisions } from './Decisions.js';
 export { DecisionTask } from './DecisionTask.js';
-export { StartingDecisions } from './StartingDecisions.js';
--- a/packages/node/src/process/settings/settingsSchema.ts
+++ b/packages/node/src/process/settings/settingsSchema.ts
@@ -111,9 +111,9 @@
 }
 
 function createKeys() {
-  const expected = 'raw ed25519 public keys (32 bytes) in base64, separated by commas';
+  const expected = 'ed25519 public keys of 43 base64url characters, separated by commas';
   return z
     .string(expected)
     .transform((text) => text.split(',').map((key) => key.trim()))
-    .refine((keys) => keys.every((key) => /^[A-Za-z0-9+/]{43}=$/.test(key)), expected);
+    .refine((keys) => keys.every((key) => /^[A-Za-z0-9_-]{43}$/.test(key)), expected);
 }
--- a/packages/node/test/support/RelayPair.ts
+++ b/packages/node/test/support/RelayPair.ts
@@ -106,7 +106,7 @@
 address = ${outside.platform}
 wait-ms = ${WATCH_MS}
 [trust]
-signing-keys = ${Buffer.alloc(32).toString('base64')}
+signing-keys = ${Buffer.alloc(32).toString('base64url')}
 [tls]
 plain-text = yes
 ${extra}`;
