--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -16,7 +16,7 @@
 import { parseRawHeaders, removeConnectionHeaders } from './headers.js';
 import { readBody } from './readBody.js';
 import type { ReadBodyResult } from './readBody.js';
-import { writeAnswer } from './writeAnswer.js';
+import { renderAnswer, writeAnswer } from './writeAnswer.js';
 
 /** Limits of a listener; times in milliseconds, sizes in bytes. */
 export interface RequestLimits {
@@ -56,6 +56,9 @@
 /** Time for connections to finish when the listener closes, in milliseconds. */
 const CLOSE_LIMIT_MS = 1_000;
 
+/** Time for a client to read the answer to a malformed request before its connection is cut, in milliseconds. */
+const LINGER_MS = 500;
+
 /** HTTP/1.1 listener for callers, or for the outgoing calls of the backend server. */
 export class RequestListener {
   readonly #options: RequestListenerOptions;
@@ -275,12 +278,8 @@
     const answer = buildRefusalAnswer(
       request.createRefusal('requestMalformed', { detail: error.code }),
     );
-    const headers = answer.headers.map(([name, value]) => `${name}: ${value}\r\n`).join('');
-    const size = answer.body.length;
-    socket.end(
-      `HTTP/1.1 ${answer.status} Bad Request\r\n${headers}connection: close\r\n` +
-        `content-length: ${size}\r\n\r\n${answer.body.toString()}`,
-    );
+    socket.end(renderAnswer(answer));
+    setTimeout(() => socket.destroy(), LINGER_MS).unref();
   }
 }
 
--- a/packages/node/src/request/writeAnswer.ts
+++ b/packages/node/src/request/writeAnswer.ts
@@ -1,3 +1,4 @@
+import { STATUS_CODES } from 'node:http';
 import type { ServerResponse } from 'node:http';
 import type { PlainAnswer } from './buildRefusalAnswer.js';
 
@@ -18,3 +19,17 @@
   outgoing.writeHead(answer.status, headers);
   outgoing.end(answer.body);
 }
+
+/**
+ * Renders a whole answer as text, for a connection on which no request was recognized.
+ * @param answer - Status, headers and body; the length and the end of the connection are added.
+ */
+export function renderAnswer({ status, headers, body }: PlainAnswer): string {
+  const lines = [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
+    ...headers.map(([name, value]) => `${name}: ${value}`),
+    `content-length: ${body.length}`,
+    'connection: close',
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n${body.toString()}`;
+}
--- /dev/null
+++ b/packages/node/test/request/RequestListener.test.ts
@@ -0,0 +1,234 @@
+import { createHash, randomBytes } from 'node:crypto';
+import { connect } from 'node:net';
+import { Readable } from 'node:stream';
+import { request as coreRequest } from '@tanagerpond/core';
+import type { node } from '@tanagerpond/core';
+import { expect } from 'chai';
+import { request } from 'undici';
+import { BodyStore } from '../../src/process/bodies/index.js';
+import { Counters, Latency } from '../../src/process/metrics/index.js';
+import { RequestListener } from '../../src/request/index.js';
+import { waitFor } from '../support/waitFor.js';
+
+const MAX_BODY = 64 * 1024;
+
+const KEY = `tpk_${'aB3_-'.repeat(8)}abc`;
+
+type Arrived = Extract<node.NodeMessage, { kind: 'callerRequest' | 'egressRequest' }>;
+
+describe('a request listener', () => {
+  let store: BodyStore;
+  let listener: RequestListener;
+  let origin: string;
+  let port: number;
+  let arrived: Arrived[];
+  let gone: string[];
+  let reply: (message: Arrived) => void;
+
+  async function start(part: 'caller' | 'egress'): Promise<void> {
+    store = new BodyStore(2 * MAX_BODY);
+    arrived = [];
+    gone = [];
+    listener = new RequestListener({
+      part,
+      limits: {
+        maxBody: MAX_BODY,
+        headerBytes: 4096,
+        headerLimitMs: 300,
+        requestLimitMs: 600,
+        connections: 3,
+      },
+      store,
+      counters: new Counters(),
+      latency: new Latency(),
+      now: () => performance.now(),
+      buildRequestId: () => `r${arrived.length}`,
+      publish: (message) => {
+        if (message.kind === 'callerRequest' || message.kind === 'egressRequest') {
+          arrived.push(message);
+          reply(message);
+        } else if (message.kind === 'requesterGone') {
+          gone.push(message.requestId);
+        }
+      },
+    });
+    port = await listener.listen('127.0.0.1', 0);
+    origin = `http://127.0.0.1:${port}`;
+    reply = ({ request: { requestId } }) => {
+      const body = store.take(requestId);
+      store.release(requestId);
+      if (body !== undefined) {
+        listener.answer(requestId, { status: 200, headers: [['x-a', '1']] }, body);
+      }
+    };
+  }
+
+  beforeEach(() => start('caller'));
+
+  afterEach(() => listener[Symbol.asyncDispose]());
+
+  /** Sends raw text and reads until the listener closes the connection. */
+  async function sendRaw(text: string): Promise<string> {
+    const socket = connect(port, '127.0.0.1');
+    let answer = '';
+    socket.on('data', (bytes: Buffer) => {
+      answer += bytes.toString();
+    });
+    socket.write(text);
+    await new Promise((resolve) => {
+      socket.once('close', resolve);
+      socket.once('error', resolve);
+    });
+    return answer;
+  }
+
+  it('guards against a body or digest that differs from what the caller sent', async () => {
+    const body = randomBytes(50_000);
+    const answer = await request(`${origin}/s/x?y=%2F`, { method: 'PUT', body });
+    expect(Buffer.from(await answer.body.arrayBuffer()).equals(body)).to.equal(true);
+    expect(answer.headers).to.include({ 'x-a': '1', 'tanagerpond-outcome': 'complete' });
+    expect(arrived[0].request).to.include({
+      method: 'PUT',
+      target: '/s/x?y=%2F',
+      bodySize: 50_000,
+      bodyDigest: createHash('sha256').update(body).digest('hex'),
+      bodyHasKey: false,
+    });
+    expect(store.used).to.equal(0);
+  });
+
+  it('guards against a key in a body that is overlooked, and against a false alarm', async () => {
+    const bodies = [`x${KEY}y`, `tpk_tpk_${KEY}`, KEY.slice(0, -1), `${KEY.slice(0, -1)} x`, ''];
+    for (let index = 0; index < bodies.length; index++) {
+      await (await request(origin, { method: 'POST', body: bodies[index] })).body.dump();
+    }
+    const found = bodies.map(
+      (body) => arrived.find(({ request: { bodySize } }) => bodySize === body.length)?.request,
+    );
+    expect(found.map((one) => one?.bodyHasKey)).to.deep.equal([true, true, false, false, false]);
+    expect(found.at(-1)?.bodyDigest).to.equal('');
+  });
+
+  it('guards against a body beyond the limit, declared or not, that is buffered or run', async () => {
+    const large = Buffer.alloc(MAX_BODY + 1);
+    const declared = await request(origin, { method: 'POST', body: large });
+    const chunked = await request(origin, {
+      method: 'POST',
+      body: Readable.from([large]),
+    });
+    const refusals = await Promise.all([declared, chunked].map(({ body }) => body.json()));
+    expect([declared.statusCode, chunked.statusCode]).to.deep.equal([413, 413]);
+    expect(declared.headers).to.include({
+      'tanagerpond-outcome': 'not-run',
+      'tanagerpond-reason': 'bodyTooLarge',
+    });
+    expect(refusals[0]).to.deep.equal({
+      reason: 'bodyTooLarge',
+      outcome: 'not-run',
+      detail: `largest body ${MAX_BODY} bytes`,
+    });
+    expect([arrived.length, store.used]).to.deep.equal([0, 0]);
+  });
+
+  it('guards against requests that are accepted beyond the budget of the process', async () => {
+    const blocked = store.tryReserve(2 * MAX_BODY - 10);
+    const answer = await request(origin, { method: 'POST', body: 'more than ten bytes' });
+    expect(answer.statusCode).to.equal(503);
+    expect(Number(answer.headers['tanagerpond-retry-after-ms'])).to.be.within(500, 1500);
+    expect(Number(answer.headers['retry-after'])).to.be.within(1, 2);
+    expect(await answer.body.json()).to.include({ reason: 'buffersFull', outcome: 'not-run' });
+    blocked?.release();
+    expect(store.used).to.equal(0);
+  });
+
+  it('guards against malformed requests that get no typed answer', async () => {
+    const answers = await Promise.all([
+      sendRaw('NOT HTTP\r\n\r\n'),
+      sendRaw(`GET / HTTP/1.1\r\nhost: a\r\nx: ${'y'.repeat(5000)}\r\n\r\n`),
+      sendRaw('GET / HTTP/1.1\r\nhost: a b<>\r\n\r\n'),
+    ]);
+    answers.forEach((answer) => {
+      expect(answer).to.match(/^HTTP\/1.1 400 /);
+      expect(answer).to.match(/tanagerpond-outcome: not-run/i);
+      expect(answer).to.include('"reason":"requestMalformed"');
+    });
+    expect(arrived).to.deep.equal([]);
+  });
+
+  it('guards against two bodies in one request (request smuggling)', async () => {
+    const answer = await sendRaw(
+      'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\nabc',
+    );
+    expect(answer).to.match(/^HTTP\/1.1 400 /);
+    expect(arrived).to.deep.equal([]);
+  });
+
+  it('guards against a slow client that holds its connection and buffers for ever', async () => {
+    const [header, body] = await Promise.all([
+      sendRaw('GET / HTTP/1.1\r\nhost: a\r\n'),
+      sendRaw('POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1000\r\n\r\nabc'),
+    ]);
+    expect(header).to.match(/^HTTP\/1.1 400 /);
+    expect(body).to.match(/^HTTP\/1.1 400 /);
+    await waitFor('the release of the buffers', () => store.used === 0);
+    expect(arrived).to.deep.equal([]);
+  });
+
+  it('guards against more connections than the settings allow', async () => {
+    const sockets = Array.from({ length: 6 }, () => connect(port, '127.0.0.1'));
+    let closed = 0;
+    sockets.forEach((socket) => {
+      socket.on('error', () => undefined);
+      socket.on('close', () => {
+        closed += 1;
+      });
+    });
+    await waitFor('the connections beyond the limit', () => closed === 3);
+    sockets.forEach((socket) => socket.destroy());
+  });
+
+  it('guards against a client that goes away and whose call goes on unnoticed', async () => {
+    reply = ({ request: { requestId } }) => store.release(requestId);
+    const stop = new AbortController();
+    const answer = request(origin, { method: 'POST', body: 'x', signal: stop.signal });
+    await waitFor('the request', () => arrived.length === 1);
+    stop.abort();
+    await answer.catch(() => undefined);
+    await waitFor('requesterGone', () => gone.length === 1);
+    expect(gone).to.deep.equal(['r0']);
+    const late = listener.refuse('r0', coreRequest.createRefusal('leaving'), []);
+    expect(late).to.equal(false);
+  });
+
+  it('guards against a refusal without its form on the wire', async () => {
+    reply = ({ request: { requestId } }) => {
+      store.release(requestId);
+      const refusal = coreRequest.createRefusal('ticketRequired', { detail: 'tanagerpond-ticket' });
+      listener.refuse(requestId, refusal, [['tanagerpond-ticket', 't']]);
+    };
+    const answer = await request(origin);
+    expect(answer.statusCode).to.equal(428);
+    expect(answer.headers).to.include({
+      'tanagerpond-outcome': 'not-run',
+      'tanagerpond-reason': 'ticketRequired',
+      'tanagerpond-ticket': 't',
+    });
+    expect(answer.headers).to.not.have.property('retry-after');
+    expect(await answer.body.json()).to.deep.equal({
+      reason: 'ticketRequired',
+      outcome: 'not-run',
+      detail: 'tanagerpond-ticket',
+    });
+  });
+
+  it('guards against the call token of a backend server that travels on as a header', async () => {
+    await listener[Symbol.asyncDispose]();
+    await start('egress');
+    const headers = { 'tanagerpond-call': 'token', 'x-b': '2' };
+    await (await request(origin, { headers })).body.dump();
+    const [message] = arrived;
+    expect(message.kind === 'egressRequest' && message.callToken).to.equal('token');
+    expect(message.request.headers).to.deep.include(['x-b', '2']);
+    expect(JSON.stringify(message.request)).to.not.include('token');
+  });
+});
