Add golden sessions of whole calls

Five sessions on a fake clock: a chain of two services, a booking whose link breaks, a booking whose node is replaced, a planned stop, a poison request. `npm run golden:renew` writes the files anew.

--- a/packages/core/test/process/node/FakeFleet.ts
+++ b/packages/core/test/process/node/FakeFleet.ts
@@ -36,7 +36,12 @@
   constructor(
     seed: number,
     bundle: Bundle,
-    readonly observe?: (vm: string, message: NodeMessage, commands: readonly NodeCommand[]) => void,
+    readonly observe?: (
+      nowMs: number,
+      vm: string,
+      message: NodeMessage,
+      commands: readonly NodeCommand[],
+    ) => void,
   ) {
     this.random = new SeededRandom(seed);
     this.#bundle = bundle;
--- a/packages/core/test/process/node/FakeNode.ts
+++ b/packages/core/test/process/node/FakeNode.ts
@@ -30,7 +30,12 @@
   readonly links: FakeLinks;
   readonly random: RandomSource;
   readonly runs: RunRecord[];
-  readonly observe?: (vm: string, message: NodeMessage, commands: readonly NodeCommand[]) => void;
+  readonly observe?: (
+    nowMs: number,
+    vm: string,
+    message: NodeMessage,
+    commands: readonly NodeCommand[],
+  ) => void;
 }
 
 /** A node machine with a fake host: bodies, backend server, requesters and ticks on a fake clock. */
@@ -149,7 +154,7 @@
     }
     this.#keepFrameBody(message, body);
     const commands = this.#machine.handle(message, this.#options.events.nowMs);
-    this.#options.observe?.(this.name, message, commands);
+    this.#options.observe?.(this.#options.events.nowMs, this.name, message, commands);
     commands.forEach((command) => this.#carryOut(command));
   }
 
--- /dev/null
+++ b/packages/core/test/process/node/sessions.test.ts
@@ -0,0 +1,117 @@
+import { expect } from 'chai';
+import { expectGolden } from '../../support/expectGolden.js';
+import { ALBA_KEY, buildTestBundle } from './buildTestBundle.js';
+import { describeStep } from './describeStep.js';
+import { FakeFleet } from './FakeFleet.js';
+import type { RequestEnd } from './FakeNode.js';
+
+const START_MS = 2_000;
+
+/** Seed with which the backend servers of these sessions shed nothing. */
+const SEED = 11;
+
+interface Session {
+  readonly fleet: FakeFleet;
+  readonly lines: string[];
+  send(vm: string, method: string, target: string, ticket?: string): RequestEnd[];
+}
+
+function openSession(): Session {
+  const lines: string[] = [];
+  const fleet = new FakeFleet(SEED, buildTestBundle(), (...step) => {
+    lines.push(...describeStep(...step));
+  });
+  fleet.events.runUntil(START_MS);
+  lines.length = 0;
+  const send = (vm: string, method: string, target: string, ticket?: string): RequestEnd[] => {
+    const ends: RequestEnd[] = [];
+    const headers: (readonly [string, string])[] = [
+      ['authorization', `Bearer ${ALBA_KEY}`],
+      ['x-request-id', target],
+      ...(ticket === undefined ? [] : [['tanagerpond-ticket', ticket] as const]),
+    ];
+    fleet.request(vm, target, method, headers, (end) => ends.push(end));
+    return ends;
+  };
+  return { fleet, lines, send };
+}
+
+function readTicket(ends: readonly RequestEnd[]): string {
+  const [end] = ends;
+  expect(end?.kind).to.equal('refused');
+  return end?.kind === 'refused' ? (end.ticket ?? '') : '';
+}
+
+describe('golden sessions of node machines', () => {
+  it('guard against a changed path of a call through two services', () => {
+    const { fleet, lines, send } = openSession();
+    const ends = send('deep-2', 'GET', '/front/child/a');
+    fleet.events.runUntil(START_MS + 500);
+    expect(ends.map(({ kind }) => kind)).to.deep.equal(['answered']);
+    expectGolden('chain-of-two-services', lines);
+  });
+
+  it('guard against a second run when the link breaks during a booking and its caller sends again', () => {
+    const { fleet, lines, send } = openSession();
+    const first = send('deep-1', 'POST', '/front/book/a');
+    fleet.events.runUntil(START_MS + 20);
+    const ticket = readTicket(first);
+    const sent = send('deep-1', 'POST', '/front/book/a', ticket);
+    fleet.events.runUntil(START_MS + 25);
+    ['front-1', 'front-2'].forEach((vm) => fleet.links.reset('deep-1', vm));
+    const again = send('deep-2', 'POST', '/front/book/a', ticket);
+    fleet.events.runUntil(START_MS + 500);
+    expect(fleet.runs).to.have.length(1);
+    expect([...sent, ...again].map(({ kind }) => kind)).to.deep.equal(['answered', 'answered']);
+    expectGolden('booking-over-a-broken-link', lines);
+  });
+
+  it('guard against a second run when the node of the ticket is replaced during a booking', () => {
+    const { fleet, lines, send } = openSession();
+    const first = send('deep-1', 'POST', '/front/book/a');
+    fleet.events.runUntil(START_MS + 20);
+    const ticket = readTicket(first);
+    send('deep-1', 'POST', '/front/book/a', ticket);
+    fleet.events.runUntil(START_MS + 25);
+    ['front-1', 'front-2'].forEach((vm) => fleet.replace(vm, 100));
+    fleet.events.runUntil(START_MS + 3_000);
+    const again = send('deep-2', 'POST', '/front/book/a', ticket);
+    fleet.events.runUntil(START_MS + 3_500);
+    expect(fleet.runs).to.have.length(1);
+    expect(again).to.deep.include.members([
+      { kind: 'refused', reason: 'incarnationGone', outcome: 'unknown', ticket: undefined },
+    ]);
+    expectGolden('booking-with-a-replaced-node', lines);
+  });
+
+  it('guard against calls cut by a planned stop', () => {
+    const { fleet, lines, send } = openSession();
+    const before = send('front-1', 'GET', '/front/slow/a');
+    fleet.events.runUntil(START_MS + 100);
+    ['front-1', 'front-2'].forEach((vm) => {
+      if (fleet.runs[0]?.vm === vm) {
+        fleet.find(vm).receive({ kind: 'drainRequested' });
+      }
+    });
+    const after = send('front-1', 'GET', '/front/read/b');
+    fleet.events.runUntil(START_MS + 4_000);
+    expect([...before, ...after].map(({ kind }) => kind)).to.deep.equal(['answered', 'answered']);
+    expect(lines.some((line) => line.includes('drained'))).to.equal(true);
+    expectGolden('planned-stop', lines);
+  });
+
+  it('guard against a request that crashes more than two backend servers', () => {
+    const { fleet, lines, send } = openSession();
+    const ends = ['deep-1', 'deep-2', 'front-1', 'front-2', 'deep-1', 'deep-2'].flatMap((vm) => {
+      const sent = send(vm, 'GET', '/front/poison/a');
+      fleet.events.runUntil(fleet.events.nowMs + 1_000);
+      return sent;
+    });
+    const crashes = fleet.listNodes().reduce((sum, node) => sum + node.backend.crashes, 0);
+    expect(crashes).to.equal(2);
+    expect(
+      ends.slice(2).every((end) => end.kind === 'refused' && end.outcome === 'notRun'),
+    ).to.equal(true);
+    expectGolden('poison-request', lines);
+  });
+});
--- /dev/null
+++ b/packages/core/test/support/expectGolden.ts
@@ -0,0 +1,21 @@
+import * as fs from 'node:fs';
+import { expect } from 'chai';
+
+const FOLDER = new URL('../golden/', import.meta.url);
+
+/**
+ * Compares the text of a whole session with its golden file. `npm run golden:renew` writes the files anew; the change
+ * is then reviewed like any other.
+ * @param name - Name of the golden file, without its ending.
+ * @param lines - Session, one message or command a line.
+ */
+export function expectGolden(name: string, lines: readonly string[]): void {
+  const file = new URL(`${name}.golden`, FOLDER);
+  const text = `${lines.join('\n')}\n`;
+  if (process.env.TANAGERPOND_GOLDEN === 'renew') {
+    fs.mkdirSync(FOLDER, { recursive: true });
+    fs.writeFileSync(file, text);
+    return;
+  }
+  expect(text).to.equal(fs.readFileSync(file, 'utf8'));
+}
