Check the window bound over randomized schedules

Up to 24 ledgers on drifting clocks exchange frames through an in-memory queue that loses, duplicates, delays and reorders them, through restarts, pauses, partitions and diverging lists. Two properties: no window of any length holds more than rate x length + burst grants, and no part of capacity or refill is usable at two places at once.

The waiting queue is drained without a copy of its keys.

--- a/packages/core/src/process/shares/OwnShare.ts
+++ b/packages/core/src/process/shares/OwnShare.ts
@@ -2,6 +2,7 @@
 import * as wire from '@tanagerpond/wire';
 import { isMintedAfter } from './LeaseIds.js';
 import { computeLenderMs } from './shareLimits.js';
+import type { OwnSnapshot } from './ShareSnapshot.js';
 import type { TokenPool } from './TokenPool.js';
 
 interface OwnLease {
@@ -119,7 +120,7 @@
   }
 
   /** Shows where the share is. */
-  snapshot(nowMs: number): object {
+  snapshot(nowMs: number): OwnSnapshot {
     return {
       fraction: this.#fraction,
       ready: this.isReady(nowMs),
--- a/packages/core/src/process/shares/RequestQueue.ts
+++ b/packages/core/src/process/shares/RequestQueue.ts
@@ -2,6 +2,7 @@
 import type * as time from '../time/index.js';
 import type { ShareCommand } from './ShareCommand.js';
 import { ROUNDING } from './shareLimits.js';
+import type { DemandSnapshot } from './ShareSnapshot.js';
 import type { TokenPool } from './TokenPool.js';
 import { WorkspaceDemand } from './WorkspaceDemand.js';
 
@@ -118,14 +119,12 @@
   drain(workspace: string, nowMs: number): readonly ShareCommand[] {
     const demand = this.demands.get(workspace);
     const commands: ShareCommand[] = [];
-    [...(demand?.waiting.keys() ?? [])].every((requestId) => {
-      if (demand === undefined || !this.#tryConsume(demand, nowMs)) {
-        return false;
-      }
+    let requestId = demand?.waiting.keys().next().value;
+    while (demand !== undefined && requestId !== undefined && this.#tryConsume(demand, nowMs)) {
       this.cancel(requestId);
       commands.push({ kind: 'granted', requestId });
-      return true;
-    });
+      requestId = demand.waiting.keys().next().value;
+    }
     return commands;
   }
 
@@ -141,7 +140,7 @@
   }
 
   /** Shows the demand of at most 64 workspaces. */
-  snapshot(): object {
+  snapshot(): Readonly<Record<string, DemandSnapshot>> {
     const shown = [...this.demands].slice(0, SNAPSHOT_WORKSPACES);
     return Object.fromEntries(shown.map(([name, demand]) => [name, demand.snapshot()]));
   }
--- a/packages/core/src/process/shares/ShareLedger.ts
+++ b/packages/core/src/process/shares/ShareLedger.ts
@@ -11,6 +11,7 @@
 import { RequestQueue } from './RequestQueue.js';
 import type { ShareCommand } from './ShareCommand.js';
 import { createFrame, type ShareFrame } from './ShareFrame.js';
+import type { ShareSnapshot } from './ShareSnapshot.js';
 import { computeSubleaseMs } from './shareLimits.js';
 import { SubleaseTable } from './SubleaseTable.js';
 import { TokenBorrower } from './TokenBorrower.js';
@@ -170,7 +171,7 @@
    * Shows shares and levels for the state dump; at most 64 workspaces.
    * @param nowMs - Monotonic time, in milliseconds.
    */
-  snapshot(nowMs: number): object {
+  snapshot(nowMs: number): ShareSnapshot {
     const clockMs = this.#settle(nowMs);
     return {
       holder: this.#ranking.isHolder(),
--- a/packages/core/src/process/shares/TokenPool.ts
+++ b/packages/core/src/process/shares/TokenPool.ts
@@ -1,5 +1,6 @@
 import type { Workspace } from '@tanagerpond/bundle';
 import { ROUNDING } from './shareLimits.js';
+import type { PoolSnapshot } from './ShareSnapshot.js';
 import { TokenBucket } from './TokenBucket.js';
 
 /** A whole share of every rate and burst. */
@@ -197,7 +198,7 @@
   }
 
   /** Shows the shares and levels, at most 64 workspaces. */
-  snapshot(nowMs: number): object {
+  snapshot(nowMs: number): PoolSnapshot {
     this.#advanceAll(nowMs);
     const buckets = [...this.#buckets].slice(0, SNAPSHOT_WORKSPACES);
     return {
--- a/packages/core/src/process/shares/WorkspaceDemand.ts
+++ b/packages/core/src/process/shares/WorkspaceDemand.ts
@@ -1,4 +1,5 @@
 import type { Workspace } from '@tanagerpond/bundle';
+import type { DemandSnapshot } from './ShareSnapshot.js';
 import { REQUEST_WAIT_MS, ROUNDING } from './shareLimits.js';
 
 /** Tokens that a holder lent to this node, with the capacity that covers them. They do not refill. */
@@ -132,11 +133,12 @@
   }
 
   /** Shows the demand for the state dump. */
-  snapshot(): object {
+  snapshot(): DemandSnapshot {
     return {
       waiting: this.waiting.size,
       callsPerSecond: this.#ratePerMs * 1_000,
       parts: this.parts.length,
+      borrowedFraction: this.parts.reduce((sum, part) => sum + part.capacity, 0),
       tokens: this.countTokens(),
     };
   }
--- a/packages/core/src/process/shares/index.ts
+++ b/packages/core/src/process/shares/index.ts
@@ -2,3 +2,4 @@
 export type { ShareFrame } from './ShareFrame.js';
 export { ShareLedger } from './ShareLedger.js';
 export type { ShareLedgerOptions } from './ShareLedger.js';
+export type { ShareSnapshot } from './ShareSnapshot.js';
--- /dev/null
+++ b/packages/core/test/process/shares/ShareFleet.ts
@@ -0,0 +1,228 @@
+import type { Bundle } from '@tanagerpond/bundle';
+import * as membership from '../../../src/process/membership/index.js';
+import * as shares from '../../../src/process/shares/index.js';
+import { EventQueue } from './EventQueue.js';
+import type { SeededRandom } from './SeededRandom.js';
+
+type SendCommand = Extract<shares.ShareCommand, { frame: unknown }>;
+
+/** Times in milliseconds after which copies of a message arrive; an empty list loses it. */
+export type Network = (from: string, to: string, frame: SendCommand['frame']) => readonly number[];
+
+export interface FleetOptions {
+  readonly bundle: Bundle;
+  readonly random: SeededRandom;
+  readonly network: Network;
+  readonly onDecision: (workspace: string, outcome: 'granted' | 'denied', atMs: number) => void;
+  /** Mutation: restarted nodes skip the wait. */
+  readonly skipStartupWait?: boolean;
+  /** Mutation: requests and frames see the time of the last tick instead of the clock. */
+  readonly staleClock?: boolean;
+}
+
+export interface FleetNode {
+  readonly self: membership.VmIdentity;
+  readonly view: membership.Membership;
+  readonly clockRate: number;
+  readonly clockOffsetMs: number;
+  ledger: shares.ShareLedger;
+  alive: boolean;
+  pausedUntilMs: number;
+  tickMs: number;
+}
+
+const TICK_MS = 50;
+
+/** Ledgers on clocks of their own, joined by an in-memory message queue. */
+export class ShareFleet {
+  readonly events = new EventQueue();
+
+  readonly nodes = new Map<string, FleetNode>();
+
+  #bundle: Bundle;
+
+  readonly #options: FleetOptions;
+
+  readonly #workspaceByRequest = new Map<string, string>();
+
+  #requests = 0;
+
+  #incarnations = 0;
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+    this.#bundle = options.bundle;
+  }
+
+  /** Starts a VM, or restarts it under the same name; an earlier run of it is gone. */
+  start(name: string, failureDomain: string, clockRate = 1): FleetNode {
+    this.stop(name);
+    this.#incarnations += 1;
+    const incarnation = (this.#incarnations * 0x1_0001).toString(16).padStart(8, '0');
+    const self = { name, service: 'desk', failureDomain, incarnation };
+    const view = new membership.Membership(self);
+    const clockOffsetMs = this.#options.random.pickBetween(1_000, 100_000);
+    const nowMs = clockOffsetMs + this.events.nowMs * clockRate;
+    const startedMs = this.#options.skipStartupWait ? nowMs - 100_000 : nowMs;
+    const { random } = this.#options;
+    const ledger = new shares.ShareLedger({ self, membership: view, random, startedMs });
+    const node: FleetNode = {
+      self,
+      view,
+      clockRate,
+      clockOffsetMs,
+      ledger,
+      alive: true,
+      pausedUntilMs: 0,
+      tickMs: nowMs,
+    };
+    this.nodes.set(name, node);
+    ledger.applyBundle(this.#bundle, nowMs);
+    this.#scheduleTick(node, random.pickBetween(0, TICK_MS));
+    return node;
+  }
+
+  /** Kills a VM without notice. */
+  stop(name: string): void {
+    const node = this.nodes.get(name);
+    if (node !== undefined) {
+      node.alive = false;
+    }
+  }
+
+  /** Stops a VM in an orderly way. */
+  release(name: string): void {
+    const node = this.nodes.get(name);
+    if (node?.alive) {
+      this.#runCommands(node, node.ledger.release(this.#readClock(node)));
+      node.alive = false;
+    }
+  }
+
+  /** Pauses a process; what comes meanwhile is handled on waking, in arbitrary order with the tick. */
+  pause(name: string, forMs: number): void {
+    const node = this.nodes.get(name);
+    if (node !== undefined) {
+      node.pausedUntilMs = Math.max(node.pausedUntilMs, this.events.nowMs + forMs);
+    }
+  }
+
+  /** Brings a bundle into force at each node after a delay. */
+  adopt(bundle: Bundle, pickDelayMs: () => number): void {
+    this.#bundle = bundle;
+    this.nodes.forEach((node) => {
+      this.#handle(node, this.events.nowMs + pickDelayMs(), () =>
+        node.ledger.applyBundle(bundle, this.#readClock(node)),
+      );
+    });
+  }
+
+  /** Gives a node a membership list. */
+  replaceList(name: string, vms: readonly membership.VmRecord[]): void {
+    this.nodes.get(name)?.view.replaceList(vms, 0);
+  }
+
+  /**
+   * Sums what the running nodes could use at this moment, as fractions of the whole. Paused nodes use nothing until they
+   * wake.
+   */
+  sumUsable(workspace: string): { capacity: number; refill: number } {
+    const usable = { capacity: 0, refill: 0 };
+    this.nodes.forEach((node) => {
+      if (!node.alive || node.pausedUntilMs > this.events.nowMs) {
+        return;
+      }
+      const { pool, demand } = node.ledger.snapshot(this.#readClock(node));
+      const lent = pool.workspaces[workspace]?.lentFraction ?? 0;
+      usable.refill += pool.fraction;
+      usable.capacity += Math.max(0, pool.fraction - lent);
+      usable.capacity += demand[workspace]?.borrowedFraction ?? 0;
+    });
+    return usable;
+  }
+
+  /** Sends a request for one token to a node. Returns false when the node is dead. */
+  request(name: string, workspace: string): boolean {
+    const node = this.nodes.get(name);
+    if (!node?.alive) {
+      return false;
+    }
+    this.#handle(node, this.events.nowMs, () => this.#request(node, workspace));
+    return true;
+  }
+
+  #request(node: FleetNode, workspace: string): void {
+    this.#requests += 1;
+    const requestId = `${this.#requests}`;
+    const outcome = node.ledger.request(workspace, requestId, this.#readClockForInput(node));
+    if (outcome === 'granted') {
+      this.#options.onDecision(workspace, 'granted', this.events.nowMs);
+      return;
+    }
+    this.#workspaceByRequest.set(requestId, workspace);
+  }
+
+  #scheduleTick(node: FleetNode, delayMs: number): void {
+    this.#handle(node, this.events.nowMs + delayMs, () => {
+      const nowMs = this.#readClock(node);
+      Object.assign(node, { tickMs: nowMs });
+      this.#runCommands(node, node.ledger.advance(nowMs));
+      this.#scheduleTick(node, TICK_MS / node.clockRate);
+    });
+  }
+
+  /** Runs an action at a node when it is due, or after the pause in which it falls. */
+  #handle(node: FleetNode, atMs: number, action: () => void): void {
+    this.events.schedule(atMs, () => {
+      if (!node.alive) {
+        return;
+      }
+      if (node.pausedUntilMs > this.events.nowMs) {
+        this.#handle(node, node.pausedUntilMs + this.#options.random.pickBetween(0, 2), action);
+        return;
+      }
+      action();
+    });
+  }
+
+  #runCommands(node: FleetNode, commands: readonly shares.ShareCommand[]): void {
+    commands.forEach((command) => {
+      if (command.kind === 'granted' || command.kind === 'denied') {
+        const workspace = this.#workspaceByRequest.get(command.requestId) ?? '';
+        this.#workspaceByRequest.delete(command.requestId);
+        this.#options.onDecision(workspace, command.kind, this.events.nowMs);
+        return;
+      }
+      this.#send(node, command);
+    });
+  }
+
+  #send(node: FleetNode, command: SendCommand): void {
+    const from = node.self.name;
+    const delays = this.#options.network(from, command.peer, command.frame);
+    delays.forEach((delayMs) => {
+      this.events.schedule(this.events.nowMs + delayMs, () => {
+        const target = this.nodes.get(command.peer);
+        if (target !== undefined) {
+          this.#handle(target, this.events.nowMs, () => this.#receive(target, from, command));
+        }
+      });
+    });
+  }
+
+  #receive(node: FleetNode, from: string, { frame }: SendCommand): void {
+    const { body } = frame;
+    if (body.case === 'shareRequest' || body.case === 'shareGrant' || body.case === 'shareReturn') {
+      const nowMs = this.#readClockForInput(node);
+      this.#runCommands(node, node.ledger.receive(from, body, nowMs));
+    }
+  }
+
+  #readClock(node: FleetNode): number {
+    return node.clockOffsetMs + this.events.nowMs * node.clockRate;
+  }
+
+  #readClockForInput(node: FleetNode): number {
+    return this.#options.staleClock ? node.tickMs : this.#readClock(node);
+  }
+}
