--- a/packages/core/src/process/node/NodeMachine.ts
+++ b/packages/core/src/process/node/NodeMachine.ts
@@ -11,6 +11,7 @@
 import type { NodeMessage } from './NodeMessage.js';
 import type { NodeServices } from './NodeServices.js';
 import { PeerLinks } from './PeerLinks.js';
+import { snapshotServices } from './snapshotServices.js';
 
 type Handlers = {
   readonly [Kind in NodeMessage['kind']]: (
@@ -101,9 +102,8 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   snapshot(nowMs: number): object {
-    const services = this.#services;
     return {
-      self: services.self,
+      ...snapshotServices(this.#services, nowMs),
       bundleVersion: this.#bundle?.version ?? null,
       isReady: this.#isReady(),
       isLeaving: this.#departure.isLeaving(),
@@ -111,21 +111,18 @@
       exitCalls: this.#exit.size,
       links: { outbound: this.#links.listOutbound(), inbound: this.#links.listInbound() },
       configuration: this.#configuration.snapshot(nowMs),
-      membership: services.membership.snapshot(nowMs),
-      router: services.router.snapshot(nowMs),
-      retryRatio: services.retryRatio.snapshot(nowMs),
-      admission: services.admission.snapshot(nowMs),
-      pressure: services.pressure.snapshot(nowMs),
-      shares: services.shares.snapshot(nowMs),
-      suspects: services.suspects.snapshot(nowMs),
-      once: services.once.snapshot(),
-      counters: this.readCounters(),
     };
   }
 
   #createHandlers(): Handlers {
     return {
-      callerRequest: ({ request }, nowMs) => this.#entry.calls.receiveCaller(request, nowMs),
+      callerRequest: ({ request }, nowMs) => {
+        this.#entry.calls.receiveCaller(request, nowMs);
+        // Asking for a token at once, not at the next tick, saves the call up to 50 ms.
+        if (this.#entry.calls.takeNewRateWait()) {
+          this.#applyShares(this.#services.shares.advance(nowMs), nowMs);
+        }
+      },
       egressRequest: ({ request, callToken }, nowMs) =>
         this.#entry.calls.receiveEgress(request, callToken, nowMs),
       requesterGone: ({ requestId }, nowMs) => this.#entry.calls.dropRequester(requestId, nowMs),
--- a/packages/core/src/request/calls/EntryCalls.ts
+++ b/packages/core/src/request/calls/EntryCalls.ts
@@ -7,8 +7,8 @@
 import { createRefusal, type Refusal, type RefusalReason } from '../refusals.js';
 import { admitCaller, type AdmittedRequest } from './admitCaller.js';
 import { admitEgress } from './admitEgress.js';
-import { AttemptAllowance } from './AttemptAllowance.js';
 import type { AttemptSender } from './AttemptSender.js';
+import { createEntryCall, type EntryPlace } from './createEntryCall.js';
 import type { EntryAttempts } from './EntryAttempts.js';
 import type { EntryCall } from './EntryCall.js';
 import type { EntryCloser } from './EntryCloser.js';
@@ -36,6 +36,8 @@
 
   readonly #parts: EntryParts;
 
+  #hasNewRateWait = false;
+
   /**
    * @param services - What the call tables share.
    * @param parts - Parts of the entry side.
@@ -94,6 +96,13 @@
     }
   }
 
+  /** Tells whether a call has begun to wait for a rate token since this was last asked. */
+  takeNewRateWait(): boolean {
+    const hasNew = this.#hasNewRateWait;
+    this.#hasNewRateWait = false;
+    return hasNew;
+  }
+
   /**
    * Goes on with a call that got its rate token.
    * @param requestId - Its request.
@@ -165,7 +174,7 @@
     nowMs: number,
   ): void {
     const rootId = this.#parts.sender.createId();
-    const call = this.#createCall(request, admitted, nowMs, {
+    const call = this.#addCall(request, admitted, nowMs, {
       context: {
         rootId,
         workspace: admitted.workspace,
@@ -196,7 +205,9 @@
     const { shares } = this.#services;
     if (shares.request(call.context.workspace, call.requestId, nowMs) === 'granted') {
       this.#parts.attempts.send(call, nowMs);
+      return;
     }
+    this.#hasNewRateWait = true;
   }
 
   #startEgressCall(
@@ -206,7 +217,7 @@
     nowMs: number,
   ): void {
     const granted = parent.allowance.grantToChild(true);
-    const call = this.#createCall(request, admitted, nowMs, {
+    const call = this.#addCall(request, admitted, nowMs, {
       parentCallId: parent.callId,
       grantedByParent: granted,
       context: {
@@ -225,32 +236,13 @@
     this.#parts.attempts.send(call, nowMs);
   }
 
-  #createCall(
+  #addCall(
     request: ArrivedRequest,
     admitted: AdmittedRequest,
     nowMs: number,
-    extra: Pick<EntryCall, 'context'> & Partial<EntryCall>,
+    place: EntryPlace,
   ): EntryCall {
-    const { route, target, headers, keyDigest, once } = admitted;
-    const call: EntryCall = {
-      requestId: request.requestId,
-      route,
-      target,
-      headers,
-      method: request.method,
-      bodySize: request.bodySize,
-      bodyDigest: request.bodyDigest,
-      allowance: new AttemptAllowance(extra.context.allowance),
-      grantedByParent: 0,
-      startedMs: nowMs,
-      state: 'waitingForRate',
-      tried: new Set(),
-      redirects: 0,
-      mayHaveRun: false,
-      ...(keyDigest === undefined ? {} : { keyDigest }),
-      ...(once === undefined ? {} : { once }),
-      ...extra,
-    };
+    const call = createEntryCall(request, admitted, nowMs, place);
     this.#parts.table.add(call);
     return call;
   }
--- a/packages/core/test/process/node/sessions.test.ts
+++ b/packages/core/test/process/node/sessions.test.ts
@@ -43,15 +43,15 @@
 }
 
 describe('golden sessions of node machines', () => {
-  it('guard against a changed path of a call through two services', () => {
+  it('guard against a changed path of a call through two services', async () => {
     const { fleet, lines, send } = openSession();
     const ends = send('deep-2', 'GET', '/front/child/a');
     fleet.events.runUntil(START_MS + 500);
     expect(ends.map(({ kind }) => kind)).to.deep.equal(['answered']);
-    expectGolden('chain-of-two-services', lines);
+    await expectGolden('chain-of-two-services', lines);
   });
 
-  it('guard against a second run when the link breaks during a booking and its caller sends again', () => {
+  it('guard against a second run when the link breaks during a booking and its caller sends again', async () => {
     const { fleet, lines, send } = openSession();
     const first = send('deep-1', 'POST', '/front/book/a');
     fleet.events.runUntil(START_MS + 20);
@@ -63,10 +63,10 @@
     fleet.events.runUntil(START_MS + 500);
     expect(fleet.runs).to.have.length(1);
     expect([...sent, ...again].map(({ kind }) => kind)).to.deep.equal(['answered', 'answered']);
-    expectGolden('booking-over-a-broken-link', lines);
+    await expectGolden('booking-over-a-broken-link', lines);
   });
 
-  it('guard against a second run when the node of the ticket is replaced during a booking', () => {
+  it('guard against a second run when the node of the ticket is replaced during a booking', async () => {
     const { fleet, lines, send } = openSession();
     const first = send('deep-1', 'POST', '/front/book/a');
     fleet.events.runUntil(START_MS + 20);
@@ -81,10 +81,10 @@
     expect(again).to.deep.include.members([
       { kind: 'refused', reason: 'incarnationGone', outcome: 'unknown', ticket: undefined },
     ]);
-    expectGolden('booking-with-a-replaced-node', lines);
+    await expectGolden('booking-with-a-replaced-node', lines);
   });
 
-  it('guard against calls cut by a planned stop', () => {
+  it('guard against calls cut by a planned stop', async () => {
     const { fleet, lines, send } = openSession();
     const before = send('front-1', 'GET', '/front/slow/a');
     fleet.events.runUntil(START_MS + 100);
@@ -97,10 +97,10 @@
     fleet.events.runUntil(START_MS + 4_000);
     expect([...before, ...after].map(({ kind }) => kind)).to.deep.equal(['answered', 'answered']);
     expect(lines.some((line) => line.includes('drained'))).to.equal(true);
-    expectGolden('planned-stop', lines);
+    await expectGolden('planned-stop', lines);
   });
 
-  it('guard against a request that crashes more than two backend servers', () => {
+  it('guard against a request that crashes more than two backend servers', async () => {
     const { fleet, lines, send } = openSession();
     const ends = ['deep-1', 'deep-2', 'front-1', 'front-2', 'deep-1', 'deep-2'].flatMap((vm) => {
       const sent = send(vm, 'GET', '/front/poison/a');
@@ -112,6 +112,6 @@
     expect(
       ends.slice(2).every((end) => end.kind === 'refused' && end.outcome === 'notRun'),
     ).to.equal(true);
-    expectGolden('poison-request', lines);
+    await expectGolden('poison-request', lines);
   });
 });
--- a/packages/core/test/support/expectGolden.ts
+++ b/packages/core/test/support/expectGolden.ts
@@ -1,4 +1,4 @@
-import * as fs from 'node:fs';
+import * as fs from 'node:fs/promises';
 import { expect } from 'chai';
 
 const FOLDER = new URL('../golden/', import.meta.url);
@@ -9,13 +9,13 @@
  * @param name - Name of the golden file, without its ending.
  * @param lines - Session, one message or command a line.
  */
-export function expectGolden(name: string, lines: readonly string[]): void {
+export async function expectGolden(name: string, lines: readonly string[]): Promise<void> {
   const file = new URL(`${name}.golden`, FOLDER);
   const text = `${lines.join('\n')}\n`;
   if (process.env.TANAGERPOND_GOLDEN === 'renew') {
-    fs.mkdirSync(FOLDER, { recursive: true });
-    fs.writeFileSync(file, text);
+    await fs.mkdir(FOLDER, { recursive: true });
+    await fs.writeFile(file, text);
     return;
   }
-  expect(text).to.equal(fs.readFileSync(file, 'utf8'));
+  expect(text).to.equal(await fs.readFile(file, 'utf8'));
 }
