--- a/packages/core/src/version/configuration/ConfigurationTracker.ts
+++ b/packages/core/src/version/configuration/ConfigurationTracker.ts
@@ -63,7 +63,7 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   offerEnvelope(envelope: string, nowMs: number): readonly ConfigurationCommand[] {
-    this.#start.recordAnswer(SERVICE);
+    this.#start.recordServiceAnswer();
     return parseEnvelope(envelope).match({
       Ok: (parsed) => this.#takeEnvelope(parsed, nowMs),
       Err: (error) => this.#reject(SERVICE, error),
@@ -97,7 +97,7 @@
     if (up) {
       return [];
     }
-    this.#start.recordAnswer(peer);
+    this.#start.recordFailure(peer);
     return this.#fetch?.dropSource(peer, nowMs) ?? [];
   }
 
@@ -160,7 +160,7 @@
     announcement: ManifestAnnouncement,
     nowMs: number,
   ): readonly ConfigurationCommand[] {
-    this.#start.recordAnswer(peer);
+    this.#start.recordPeerAnswer(peer);
     const { version, manifest: bytes, signature } = announcement;
     const digest = digestText(bytes);
     if (this.#store.isSettled(digest)) {
--- a/packages/core/src/version/configuration/StartPhase.ts
+++ b/packages/core/src/version/configuration/StartPhase.ts
@@ -6,6 +6,9 @@
 /** Time for the answers of peers and of the service, which normally take milliseconds. */
 const ANSWER_MS = 1_000;
 
+/** When no peer answers at all, others are asked before the service alone decides. */
+const SILENT_PEERS_MS = 5_000;
+
 /** Without the platform's list no peer can be asked; a start waits longer for it before the service alone decides. */
 const LIST_MS = 5_000;
 
@@ -16,7 +19,7 @@
 const DOMAINS = 3;
 const PEERS_PER_DOMAIN = 2;
 
-/** A node that found no version asks again this often. */
+/** Time after which other peers are asked while the phase lasts. */
 const ASK_AGAIN_MS = 2_000;
 
 /** Decides when a starting node has asked enough others to serve with the highest version that it found. */
@@ -33,6 +36,8 @@
 
   #askedMs: number | undefined;
 
+  #peerAnswered = false;
+
   #serviceAnswered = false;
 
   #done = false;
@@ -49,17 +54,30 @@
     return this.#done;
   }
 
+  /** Records an answer of the configuration service. */
+  recordServiceAnswer(): void {
+    this.#serviceAnswered = true;
+  }
+
+  /**
+   * Records that a peer told its version.
+   * @param peer - Name of the VM.
+   */
+  recordPeerAnswer(peer: string): void {
+    this.#unanswered.delete(peer);
+    this.#peerAnswered = true;
+  }
+
   /**
-   * Records an answer or a broken link of a peer, or an answer of the service.
-   * @param source - Name of the VM or `service`.
+   * Records that a peer that was asked cannot answer.
+   * @param peer - Name of the VM.
    */
-  recordAnswer(source: string): void {
-    this.#unanswered.delete(source);
-    this.#serviceAnswered ||= source === 'service';
+  recordFailure(peer: string): void {
+    this.#unanswered.delete(peer);
   }
 
   /**
-   * Asks peers, and again while there is no version, and ends the phase when enough is known.
+   * Asks peers until enough is known, then ends the phase.
    * @param state - Whether a version is held and whether a higher one is being fetched.
    * @param nowMs - Monotonic time, in milliseconds.
    */
@@ -70,28 +88,26 @@
     if (this.#done) {
       return [];
     }
-    const waited = this.#askedPeersMs !== undefined || this.#isAnswerDue(nowMs);
-    if (state.held && waited && this.#isEnough(state.fetching, nowMs)) {
-      this.#done = true;
-      return [];
-    }
-    return this.#askWhenDue(nowMs);
+    // Asking comes first: a list that arrives late must not end the phase before its peers are asked.
+    const asked = this.#askWhenDue(nowMs);
+    this.#done = state.held && this.#isEnough(state.fetching, nowMs);
+    return asked;
   }
 
   #isEnough(fetching: boolean, nowMs: number): boolean {
     if (fetching) {
       return nowMs - this.#startedMs >= FETCH_MS;
     }
-    const answered = this.#unanswered.size === 0 && this.#serviceAnswered;
-    return answered || this.#isAnswerDue(nowMs);
+    if (this.#askedPeersMs === undefined) {
+      return nowMs - this.#startedMs >= (this.#isListed() ? ANSWER_MS : LIST_MS);
+    }
+    const answered = this.#peerAnswered && this.#serviceAnswered && this.#unanswered.size === 0;
+    const limitMs = this.#peerAnswered ? ANSWER_MS : SILENT_PEERS_MS;
+    return answered || nowMs - this.#askedPeersMs >= limitMs;
   }
 
-  #isAnswerDue(nowMs: number): boolean {
-    if (this.#askedPeersMs !== undefined) {
-      return nowMs - this.#askedPeersMs >= ANSWER_MS;
-    }
-    const listed = this.#membership.listFailureDomains().length > 0;
-    return nowMs - this.#startedMs >= (listed ? ANSWER_MS : LIST_MS);
+  #isListed(): boolean {
+    return this.#membership.listFailureDomains().length > 0;
   }
 
   #askWhenDue(nowMs: number): readonly ConfigurationCommand[] {
--- a/packages/core/src/version/configuration/VersionSpread.ts
+++ b/packages/core/src/version/configuration/VersionSpread.ts
@@ -1,6 +1,6 @@
 import type { RandomSource } from '../../process/time/index.js';
 import type { ConfigurationCommand } from './ConfigurationCommand.js';
-import { createAnnouncement, createManifestRequest } from './configurationFrames.js';
+import { createAnnouncement } from './configurationFrames.js';
 import type { HeldVersion } from './HeldVersion.js';
 import type { PeerChooser } from './PeerChooser.js';
 
@@ -11,10 +11,6 @@
 const EXCHANGE_MIN_MS = 2_000;
 const EXCHANGE_SPREAD_MS = 2_000;
 
-/** A process that was paused for this long asks peers at once instead of waiting for the next exchange. */
-const PAUSE_MS = 5_000;
-const PEERS_AFTER_PAUSE = 3;
-
 /** Decides whom this node tells of its version, and when. */
 export class VersionSpread {
   readonly #peers: PeerChooser;
@@ -23,13 +19,10 @@
 
   #exchangeAtMs: number;
 
-  #advancedMs: number;
-
   /** @param options - The choice of peers, the source of randomness and the time of the start. */
   constructor(options: { peers: PeerChooser; random: RandomSource; startedMs: number }) {
     this.#peers = options.peers;
     this.#random = options.random;
-    this.#advancedMs = options.startedMs;
     this.#exchangeAtMs = this.#drawExchange(options.startedMs);
   }
 
@@ -43,25 +36,12 @@
   }
 
   /**
-   * Tells one random peer the version in force when that is due, and asks peers after a pause of the process.
+   * Tells one random peer the version in force when that is due. After a pause of the process it is due at once, and a
+   * peer that is ahead answers with its version.
    * @param held - Version in force, if any.
    * @param nowMs - Monotonic time, in milliseconds.
    */
   advance(held: HeldVersion | undefined, nowMs: number): readonly ConfigurationCommand[] {
-    const paused = nowMs - this.#advancedMs >= PAUSE_MS;
-    this.#advancedMs = nowMs;
-    const asked = paused ? this.#peers.choose(PEERS_AFTER_PAUSE) : [];
-    return [
-      ...asked.map((peer): ConfigurationCommand => ({
-        kind: 'sendRequest',
-        peer,
-        frame: createManifestRequest(),
-      })),
-      ...this.#exchange(held, nowMs),
-    ];
-  }
-
-  #exchange(held: HeldVersion | undefined, nowMs: number): readonly ConfigurationCommand[] {
     if (nowMs < this.#exchangeAtMs) {
       return [];
     }
--- a/packages/core/test/version/configuration/ConfigurationTracker.test.ts
+++ b/packages/core/test/version/configuration/ConfigurationTracker.test.ts
@@ -101,6 +101,43 @@
     expect(node?.version).to.equal(2);
   });
 
+  it('guards against a starting node that serves a stale answer before slower peers answer', () => {
+    const fleet = createFleet();
+    fleet.publish(signSample(2));
+    fleet.runUntil(() => fleet.isEverywhere(2), SPREAD_LIMIT_MS);
+    fleet.publish(signSample(1));
+    fleet.latencyMs = 300;
+    fleet.start('vm-9');
+    const node = fleet.nodes.get('vm-9');
+    fleet.runUntil(() => node?.readyMs !== undefined, 20_000);
+    expect(node?.versions).to.deep.equal([1, 2]);
+  });
+
+  it('guards against a starting node that serves a stale answer because the first peers are dead', () => {
+    const fleet = createFleet();
+    fleet.publish(signSample(2));
+    fleet.runUntil(() => fleet.isEverywhere(2), SPREAD_LIMIT_MS);
+    fleet.publish(signSample(1));
+    fleet.start('vm-9');
+    const startedMs = fleet.nowMs;
+    fleet.isLost = (from, to) => [from, to].includes('vm-9') && fleet.nowMs - startedMs < 1_900;
+    const node = fleet.nodes.get('vm-9');
+    fleet.runUntil(() => node?.readyMs !== undefined, 20_000);
+    expect(node?.versions).to.deep.equal([1, 2]);
+  });
+
+  it('guards against a starting node that stops asking peers while the service is down', () => {
+    const fleet = createFleet();
+    fleet.service = undefined;
+    fleet.start('vm-9');
+    fleet.isLost = (from, to) => from === 'vm-9' || to === 'vm-9';
+    fleet.log.length = 0;
+    fleet.runFor(20_000);
+    expect(fleet.nodes.get('vm-9')?.readyMs).to.equal(undefined);
+    const asked = fleet.log.filter((line) => /vm-9 .*manifestRequest/.test(line));
+    expect(asked.length).to.be.at.least(30);
+  });
+
   it('guards against a part of a split fleet that stays behind after healing', () => {
     const fleet = createFleet();
     fleet.isLost = (from, to) => isLeft(from) !== isLeft(to);
--- a/packages/core/test/version/configuration/TrackerFleet.ts
+++ b/packages/core/test/version/configuration/TrackerFleet.ts
@@ -5,7 +5,7 @@
 import { TRUSTED_KEY } from './sampleBundles.js';
 
 const TICK_MS = 50;
-const LATENCY_MS = 3;
+const SERVICE_LATENCY_MS = 3;
 
 /** Tells whether a frame from one VM to another is lost. */
 export type LossRule = (
@@ -42,6 +42,9 @@
   /** Value of the configuration service; undefined while it does not answer. */
   service: string | undefined;
 
+  /** Longest time that a frame takes. */
+  latencyMs = 3;
+
   isLost: LossRule = loseNothing;
 
   readonly #watchers = new Set<string>();
@@ -196,7 +199,7 @@
     if (this.isLost(from, to, frame)) {
       return;
     }
-    this.#schedule(() => {
+    this.#schedule(this.latencyMs, () => {
       const receiver = this.nodes.get(to);
       this.run(to, receiver?.tracker.receive(from, frame, this.nowMs) ?? []);
     });
@@ -205,15 +208,15 @@
   #answerService(name: string): void {
     const value = this.service;
     if (value !== undefined) {
-      this.#schedule(() => {
+      this.#schedule(SERVICE_LATENCY_MS, () => {
         const reader = this.nodes.get(name);
         this.run(name, reader?.tracker.offerEnvelope(value, this.nowMs) ?? []);
       });
     }
   }
 
-  #schedule(deliver: () => void): void {
-    const dueMs = this.nowMs + 1 + Math.floor(this.next() * LATENCY_MS);
+  #schedule(latencyMs: number, deliver: () => void): void {
+    const dueMs = this.nowMs + 1 + Math.floor(this.next() * latencyMs);
     const due = this.#due.get(dueMs) ?? [];
     due.push(deliver);
     this.#due.set(dueMs, due);
--- a/packages/core/test/version/configuration/refusedVersions.test.ts
+++ b/packages/core/test/version/configuration/refusedVersions.test.ts
@@ -56,8 +56,14 @@
     receive(createAnnouncement(signSample(6), 6));
     const content = Buffer.from('[workspace north]\nrate = 9\nburst = 9\n');
     const digest = Buffer.from(digestText(content), 'hex');
-    receive(createFrame({ case: 'sectionReply', value: { digest, content } }));
+    const reply = createFrame({ case: 'sectionReply', value: { digest, content } });
+    fleet.stop('vm-1');
+    for (let second = 0; second < 11; second++) {
+      receive(reply);
+      fleet.runFor(1_000);
+    }
     expect(node.version).to.equal(5);
+    expect(node.tracker.snapshot(fleet.nowMs)).to.include({ fetch: null });
   });
 
   it('guards against a fetch that waits for a source whose link is down', () => {
