--- /dev/null
+++ b/packages/node/test/process/platform/PlatformReader.test.ts
@@ -0,0 +1,138 @@
+import type { ServerResponse } from 'node:http';
+import { Writable } from 'node:stream';
+import type { node } from '@tanagerpond/core';
+import { expect } from 'chai';
+import { createLogger } from '../../../src/index.js';
+import { Counters } from '../../../src/process/metrics/index.js';
+import { PlatformReader } from '../../../src/process/platform/index.js';
+import { StandInServer } from '../../support/StandInServer.js';
+import { waitFor } from '../../support/waitFor.js';
+
+const VM = { name: 'a', service: 's', failureDomain: 'd', peerAddress: '1.2.3.4:5', state: 'live' };
+
+describe('the reader of the platform', () => {
+  let urls: string[];
+  let lines: string[];
+  let messages: node.NodeMessage[];
+  let server: StandInServer;
+  let reader: PlatformReader;
+  let handle: (url: string, outgoing: ServerResponse) => void;
+
+  beforeEach(async () => {
+    urls = [];
+    lines = [];
+    messages = [];
+    handle = (_url, outgoing) => outgoing.writeHead(503).end();
+    server = new StandInServer((incoming, outgoing) => {
+      urls.push(incoming.url ?? '');
+      handle(incoming.url ?? '', outgoing);
+    });
+    reader = new PlatformReader({
+      address: await server.listen(),
+      waitMs: 200,
+      publish: (message) => messages.push(message),
+      counters: new Counters(),
+      log: createLogger({
+        level: 'info',
+        stream: new Writable({
+          write: (chunk: Buffer, _encoding, done) => {
+            lines.push(chunk.toString());
+            done();
+          },
+        }),
+        now: () => performance.now(),
+      }),
+    });
+  });
+
+  afterEach(async () => {
+    await reader[Symbol.asyncDispose]();
+    await server[Symbol.asyncDispose]();
+  });
+
+  function listEnvelopes(): readonly string[] {
+    return messages.flatMap((message) =>
+      message.kind === 'envelopeRead' ? [message.envelope] : [],
+    );
+  }
+
+  it('guards against a new bundle that the watch does not bring, or brings twice', async () => {
+    let index = 7;
+    handle = (url, outgoing) => {
+      const after = Number(new URL(url, 'http://p').searchParams.get('after') ?? 0);
+      if (after < index) {
+        outgoing.setHeader('platform-index', index);
+        outgoing.end(`bundle ${index}`);
+      } else {
+        outgoing.writeHead(304).end();
+        index = 8;
+      }
+    };
+    reader.watchService(true);
+    reader.watchService(true);
+    await waitFor('the second bundle', () => listEnvelopes().length === 2);
+    reader.watchService(false);
+    expect(listEnvelopes()).to.deep.equal(['bundle 7', 'bundle 8']);
+    expect(urls.slice(0, 3)).to.deep.equal([
+      '/configuration/bundle',
+      '/configuration/bundle?after=7&waitMs=200',
+      '/configuration/bundle?after=7&waitMs=200',
+    ]);
+  });
+
+  it('guards against a watch that goes on after it was stopped, or reads without pause', async () => {
+    reader.watchService(true);
+    await waitFor('the failure', () => messages.some(({ kind }) => kind === 'serviceUnavailable'));
+    await new Promise((resolve) => {
+      setTimeout(resolve, 300);
+    });
+    expect(urls.length).to.equal(1);
+    reader.watchService(false);
+    handle = (_url, outgoing) => outgoing.setHeader('platform-index', 1).end('late');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 1_000);
+    });
+    expect([urls.length, listEnvelopes()]).to.deep.equal([1, []]);
+  });
+
+  it('guards against a read of the bundle that ends without a message', async () => {
+    reader.readService();
+    reader.readService();
+    await waitFor('the failure', () => messages.length === 1);
+    handle = (_url, outgoing) => outgoing.end('no index');
+    reader.readService();
+    await waitFor('the missing index', () => messages.length === 2);
+    handle = (_url, outgoing) => outgoing.setHeader('platform-index', 1).end('bundle');
+    reader.readService();
+    await waitFor('the bundle', () => messages.length === 3);
+    expect(messages).to.deep.equal([
+      { kind: 'serviceUnavailable' },
+      { kind: 'serviceUnavailable' },
+      { kind: 'envelopeRead', envelope: 'bundle' },
+    ]);
+    expect(urls.length).to.equal(3);
+  });
+
+  it('guards against a malformed list that replaces a good one, and against noise in the log', async () => {
+    const lists = [
+      { index: 1, vms: [VM] },
+      { index: 2, vms: [{ ...VM, state: 'odd' }] },
+      { index: 3, vms: [] },
+    ];
+    handle = (_url, outgoing) =>
+      outgoing.end(JSON.stringify(lists.shift() ?? { index: 4, vms: [] }));
+    reader.start();
+    await waitFor('the third list', () => messages.length >= 2);
+    expect(messages.slice(0, 2)).to.deep.equal([
+      { kind: 'vmsListed', vms: [VM] },
+      { kind: 'vmsListed', vms: [] },
+    ]);
+    const line = JSON.parse(lines[0]) as object;
+    expect(line).to.include({
+      level: 'warn',
+      message: 'membership: platform read failed',
+      fault: 'malformed',
+    });
+    expect(lines.length).to.equal(1);
+  });
+});
