--- /dev/null
+++ b/packages/scenario/src/process/experiment/index.ts
@@ -0,0 +1,3 @@
+export * from './formatSummary.js';
+export * from './parseExperiment.js';
+export * from './runExperiment.js';
--- a/packages/scenario/src/process/fleet/Fleet.ts
+++ b/packages/scenario/src/process/fleet/Fleet.ts
@@ -1,10 +1,12 @@
 import * as fs from 'node:fs/promises';
 import * as os from 'node:os';
 import * as path from 'node:path';
-import { collector } from '@tanagerpond/testkit';
+import * as undici from 'undici';
+import { collector, time } from '@tanagerpond/testkit';
 import { buildBackendOptions, type BackendTuning } from './buildBackendOptions.js';
 import type { Deployment } from './Deployment.js';
 import { LinkTable } from './LinkTable.js';
+import type { ManagedProcess } from './ManagedProcess.js';
 import { Platform } from './Platform.js';
 import { VirtualMachine } from './VirtualMachine.js';
 
@@ -15,6 +17,13 @@
   readonly hasRelays: boolean;
 }
 
+/** Nodes that take longer to become ready than this are reported. */
+const SERVING_LIMIT_MS = 30_000;
+const SERVING_POLL_MS = 100;
+
+/** Lease of the share ledger with its margin for clock drift, and a little more for the machine. */
+const LEASE_MARGIN = 1.1;
+
 /** State of a VM in the platform's list; an absent VM is not listed. */
 export type ListState = 'live' | 'leaving' | 'absent';
 
@@ -75,6 +84,22 @@
     await this.publishList();
   }
 
+  /**
+   * Waits until every node serves. A new node lends and uses no share of the rates for one lease, so that time is
+   * waited for as well.
+   * @throws Error when a node is not ready in time.
+   */
+  async waitServing(signal?: AbortSignal): Promise<void> {
+    const endMs = performance.now() + SERVING_LIMIT_MS;
+    while (!(await this.#isServing())) {
+      if (performance.now() > endMs || signal?.aborted === true) {
+        throw new Error(`the nodes were not ready in ${SERVING_LIMIT_MS} ms`);
+      }
+      await time.waitFor(SERVING_POLL_MS, signal);
+    }
+    await time.waitFor(this.deployment.bundle.fleet.shareLeaseMs * LEASE_MARGIN, signal);
+  }
+
   /** Signs the present sections and publishes them. */
   async publishBundle(): Promise<void> {
     await this.platform.send('/bundle', this.deployment.sign());
@@ -102,6 +127,22 @@
       .map((vm) => vm.listeners.caller);
   }
 
+  /** Lists the processes that run now. */
+  listProcesses(): readonly ManagedProcess[] {
+    const all = [...this.vms.values()].flatMap((vm) => [vm.node, vm.backend]);
+    return [this.#platform?.process, ...all].flatMap((each) =>
+      each?.isRunning === true ? [each] : [],
+    );
+  }
+
+  /** Slows down every running backend server of a service by a factor. */
+  async setSlowdown(service: string, factor: number): Promise<void> {
+    const affected = [...this.vms.values()].filter(
+      (vm) => vm.plan.service === service && vm.backend?.isRunning === true,
+    );
+    await Promise.all(affected.map((vm) => vm.sendBackend('/faults', { slowdown: factor })));
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await Promise.all([...this.vms.values()].map((vm) => vm[Symbol.asyncDispose]()));
     await this.links[Symbol.asyncDispose]();
@@ -112,7 +153,23 @@
     }
   }
 
+  async #isServing(): Promise<boolean> {
+    const reasons = await Promise.all(this.listEntries().map(readRefusalReason));
+    return reasons.every((reason) => reason !== '' && reason !== 'starting');
+  }
+
   #collectPeers(): ReadonlyMap<string, string> {
     return new Map([...this.vms].map(([name, vm]) => [name, vm.listeners.peer]));
   }
 }
+
+/** A request that no route matches shows whether the node serves, without running anything. */
+async function readRefusalReason(entry: string): Promise<string> {
+  try {
+    const answer = await undici.request(`http://${entry}/no-such-service`);
+    await answer.body.dump();
+    return String(answer.headers['tanagerpond-reason'] ?? '');
+  } catch {
+    return '';
+  }
+}
--- a/packages/scenario/src/process/fleet/ManagedProcess.ts
+++ b/packages/scenario/src/process/fleet/ManagedProcess.ts
@@ -71,6 +71,11 @@
     return ready;
   }
 
+  /** Id of the process; undefined when it could not be started. */
+  get id(): number | undefined {
+    return this.#child.pid;
+  }
+
   /** Sends a signal to this process alone. */
   send(signal: NodeJS.Signals): void {
     if (this.isRunning) {
--- a/packages/scenario/src/process/fleet/VirtualMachine.ts
+++ b/packages/scenario/src/process/fleet/VirtualMachine.ts
@@ -83,12 +83,13 @@
       platform: this.#setup.platform,
       publicKey: this.#setup.publicKey,
       backend: this.#backendAddress,
+      logLevel: 'warn',
       listeners: this.#listeners,
     });
     await fs.writeFile(file, settings);
     this.#isFrozen = false;
-    this.#node = new ManagedProcess(`node ${this.plan.name}`, SCRIPTS.node, [file]);
-    this.#listeners = readListeners(await this.#node.waitReady());
+    this.#node = new ManagedProcess(`node ${this.plan.name}`, SCRIPTS.node, ['--settings', file]);
+    this.#listeners = readListeners((await this.#node.waitReady()).addresses);
     await this.connectBackend();
   }
 
@@ -125,7 +126,8 @@
   }
 }
 
-function readListeners(ready: Readonly<Record<string, unknown>>): Record<ListenerName, string> {
+function readListeners(value: unknown): Record<ListenerName, string> {
+  const ready = value as Readonly<Record<string, unknown>>;
   const read = (name: ListenerName) => String(ready[name]);
   return {
     caller: read('caller'),
--- a/packages/scenario/src/process/fleet/formatNodeSettings.ts
+++ b/packages/scenario/src/process/fleet/formatNodeSettings.ts
@@ -5,7 +5,9 @@
   readonly failureDomain: string;
   readonly platform: string;
   readonly backend: string;
+  /** Raw Ed25519 public key in base64url. */
   readonly publicKey: string;
+  readonly logLevel: 'warn' | 'debug';
   /** Addresses of an earlier start, so that a restarted node is found where it was. */
   readonly listeners: Readonly<Record<ListenerName, string>>;
 }
@@ -21,16 +23,16 @@
 };
 
 /**
- * Formats the settings file of a node.
+ * Formats the settings file of a node, as `packages/node/examples/node.ini` describes it.
  * @param plan - Identity and addresses of the node.
  */
 export function formatNodeSettings(plan: NodePlan): string {
-  return `[node]
-vm = ${plan.vm}
+  return `[vm]
+name = ${plan.vm}
 service = ${plan.service}
 failure-domain = ${plan.failureDomain}
 
-[listeners]
+[listen]
 caller = ${plan.listeners.caller}
 egress = ${plan.listeners.egress}
 peer = ${plan.listeners.peer}
@@ -42,7 +44,18 @@
 [platform]
 address = ${plan.platform}
 
-[bundle]
-trusted-keys = ${plan.publicKey}
+[trust]
+signing-keys = ${formatSigningKey(plan.publicKey)}
+
+[log]
+level = ${plan.logLevel}
+
+[tls]
+plain-text = yes
 `;
 }
+
+/** The node's settings take base64, while the bundle package creates base64url. */
+function formatSigningKey(publicKey: string): string {
+  return Buffer.from(publicKey, 'base64url').toString('base64');
+}
--- a/packages/scenario/src/process/fleet/index.ts
+++ b/packages/scenario/src/process/fleet/index.ts
@@ -1,6 +1,7 @@
 export * from './buildBackendOptions.js';
 export * from './Deployment.js';
 export * from './DeploymentError.js';
+export * from './findDeploymentFolder.js';
 export * from './Fleet.js';
 export * from './ManagedProcess.js';
 export * from './ProcessStartError.js';
--- a/packages/scenario/src/process/language/Statement.ts
+++ b/packages/scenario/src/process/language/Statement.ts
@@ -21,6 +21,7 @@
         | 'keysSeen'
         | 'wrong'
         | 'inversions'
+        | 'lowestVersion'
         | 'takeEffect'
         | 'reads'
         | 'crashed'
@@ -30,6 +31,7 @@
   | { readonly kind: 'refusedInside' | 'attempts'; readonly load: string }
   | { readonly kind: 'runsPerRequest'; readonly route: string; readonly load: string }
   | { readonly kind: 'runs'; readonly route: string }
+  | { readonly kind: 'version'; readonly vm: string }
   | { readonly kind: 'workAfterLeaving'; readonly vm: string; readonly durationMs: number }
   | { readonly kind: 'withdrawal'; readonly workspace: string }
   | { readonly kind: 'latency'; readonly percentile: 'p50' | 'p99'; readonly load: string };
@@ -118,3 +120,10 @@
 
 /** One line of a scenario. */
 export type Statement = Action & { readonly line: number; readonly text: string };
+
+/** Members of a union by one of their kinds; a member may have several. */
+export type OfKind<Union extends { readonly kind: string }, Kind> = Union extends unknown
+  ? Kind extends Union['kind']
+    ? Union
+    : never
+  : never;
--- a/packages/scenario/src/process/language/buildAction.ts
+++ b/packages/scenario/src/process/language/buildAction.ts
@@ -122,6 +122,8 @@
     durationMs: take(duration),
   }),
   Measure_inversions: (_i, _r, _s, _b, _l, _o) => ({ kind: 'inversions' }),
+  Measure_version: (_v, _a, vm) => ({ kind: 'version', vm: take(vm) }),
+  Measure_lowestVersion: (_l, _v) => ({ kind: 'lowestVersion' }),
   Measure_takeEffect: (_t, _o, _k, _e) => ({ kind: 'takeEffect' }),
   Measure_withdrawal: (_t, _u, _w, _o, workspace, _h) => ({
     kind: 'withdrawal',
--- a/packages/scenario/src/process/language/grammar.ts
+++ b/packages/scenario/src/process/language/grammar.ts
@@ -66,6 +66,8 @@
     | "runs" "of" name                           -- runs
     | "work" "at" name duration "after" "leaving" -- workAfterLeaving
     | "important" "requests" "shed" "before" "lesser" "ones" -- inversions
+    | "version" "at" name                        -- version
+    | "lowest" "version"                         -- lowestVersion
     | "time" "to" "take" "effect"                -- takeEffect
     | "time" "until" "withdrawal" "of" name "holds" -- withdrawal
     | "platform" "reads" "per" "second"          -- reads
--- /dev/null
+++ b/packages/scenario/src/process/run/countInversions.ts
@@ -0,0 +1,30 @@
+import type { caller, collector } from '@tanagerpond/testkit';
+import type { ScenarioState } from './ScenarioState.js';
+
+const SHED_REASONS = new Set(['overloaded', 'preempted']);
+
+/**
+ * Counts requests of class 0 that were shed although less important work of the same service began to run between
+ * their arrival and their refusal.
+ * @param state - State of the run.
+ */
+export function countInversions(state: ScenarioState): number {
+  const { routes } = state.fleet.deployment.bundle;
+  const shed = [...state.loads.values()]
+    .flatMap((load) => load.records)
+    .filter(
+      (record) => SHED_REASONS.has(record.reason) && routes.get(record.route)?.priority === 0,
+    );
+  const lesser = state.fleet.runs.runs.filter((run) => (routes.get(run.route)?.priority ?? 0) > 0);
+  return shed.filter((record) => hasLesserRun(record, lesser)).length;
+}
+
+function hasLesserRun(record: caller.RequestRecord, lesser: readonly collector.Run[]): boolean {
+  const service = record.route.split('.')[0];
+  return lesser.some(
+    (run) =>
+      run.route.split('.')[0] === service &&
+      run.atMs > record.startedMs &&
+      run.atMs < record.endedMs,
+  );
+}
--- /dev/null
+++ b/packages/scenario/src/process/run/index.ts
@@ -0,0 +1,2 @@
+export * from './ScenarioRunner.js';
+export * from './startLoad.js';
--- /dev/null
+++ b/packages/scenario/src/process/run/publishRollout.ts
@@ -0,0 +1,51 @@
+import { time } from '@tanagerpond/testkit';
+import type { Rollout, ScenarioState } from './ScenarioState.js';
+
+const POLL_MS = 100;
+
+/** A rollout that takes longer counts as never effective. */
+const WATCH_LIMIT_MS = 60_000;
+
+/**
+ * Publishes the present sections and watches in the background until every serving node has the version in force.
+ * @param state - State of the run.
+ */
+export async function publishRollout(state: ScenarioState): Promise<void> {
+  await state.fleet.publishBundle();
+  const rollout: Rollout = {
+    version: state.fleet.deployment.version,
+    publishedMs: performance.now(),
+    effectiveMs: undefined,
+  };
+  Object.assign(state, { rollout });
+  void watchUntilEffective(state, rollout);
+}
+
+async function watchUntilEffective(state: ScenarioState, rollout: Rollout): Promise<void> {
+  const endMs = rollout.publishedMs + WATCH_LIMIT_MS;
+  while (!state.signal.aborted && performance.now() < endMs && state.rollout === rollout) {
+    const versions = await readVersions(state);
+    if (versions.every((version) => version >= rollout.version)) {
+      Object.assign(rollout, { effectiveMs: performance.now() });
+      return;
+    }
+    await time.waitFor(POLL_MS, state.signal);
+  }
+}
+
+/**
+ * Reads the version in force at each serving node; 0 for a node that has none or does not answer.
+ * @param state - State of the run.
+ * @param name - Only this VM.
+ */
+export async function readVersions(state: ScenarioState, name?: string): Promise<number[]> {
+  const serving = [...state.fleet.vms.values()].filter(
+    (vm) => vm.isServing && (name === undefined || vm.plan.name === name),
+  );
+  return Promise.all(serving.map(async (vm) => findVersion(await vm.readState())));
+}
+
+function findVersion(dump: Readonly<Record<string, unknown>> | undefined): number {
+  const counters = dump?.counters as { decisions?: { bundleVersion?: number } } | undefined;
+  return counters?.decisions?.bundleVersion ?? 0;
+}
--- /dev/null
+++ b/packages/scenario/src/process/run/runStatement.ts
@@ -0,0 +1,81 @@
+import { time } from '@tanagerpond/testkit';
+import type { Action, OfKind, Party } from '../language/index.js';
+import { applyChange } from './applyChange.js';
+import { publishRollout } from './publishRollout.js';
+import { sendCrashRequests } from './sendCrashRequests.js';
+import { findLoad, findVm, type ScenarioState } from './ScenarioState.js';
+import { startLoad } from './startLoad.js';
+
+type Handlers = {
+  readonly [Kind in Action['kind']]?: (
+    state: ScenarioState,
+    action: OfKind<Action, Kind>,
+  ) => Promise<unknown> | void;
+};
+
+const PLATFORM_MODES = {
+  stops: 'down',
+  'goes silent': 'silent',
+  'goes stale': 'stale',
+  resumes: 'normal',
+} as const;
+
+/** What each kind of statement does once the fleet runs; the kinds before that are settings of the fleet. */
+const HANDLERS: Handlers = {
+  load: startLoad,
+  stopLoad: (state, action) => findLoad(state, action.load).stop(),
+  wait: (state, action) => time.waitFor(action.durationMs, state.signal),
+  waitLoad: (state, action) => state.running.get(action.load),
+  waitLoads: (state) => Promise.all(state.running.values()),
+  change: (state, action) => applyChange(state, action.verb, action.part, action.vm),
+  cut: (state, action) =>
+    state.fleet.links.setState(
+      listParty(state, action.left),
+      listParty(state, action.right),
+      action.manner === 'silently' ? 'silent' : 'refused',
+    ),
+  heal: (state) => {
+    const everything = listParty(state, { kind: 'everything' });
+    state.fleet.links.setState(everything, everything, 'open');
+  },
+  platform: (state, action) =>
+    state.fleet.platform.send('/mode', { mode: PLATFORM_MODES[action.state] }),
+  lag: (state, action) => state.fleet.platform.send('/lag', { lagMs: action.durationMs }),
+  listed: (state, action) => state.fleet.setListState(action.vm, action.state),
+  withdraw: async (state, action) => {
+    state.fleet.deployment.replaceKey(action.workspace);
+    await publishRollout(state);
+    state.withdrawnMs.set(action.workspace, performance.now());
+  },
+  rollOut: async (state, action) => {
+    state.fleet.deployment.setValue(action.section, action.key, action.value);
+    await publishRollout(state);
+  },
+  crash: sendCrashRequests,
+  slow: (state, action) => state.fleet.setSlowdown(action.service, action.factor),
+  health: (state, action) =>
+    findVm(state, action.vm).sendBackend('/faults', { health: action.state }),
+};
+
+/**
+ * Carries out one statement on a running fleet.
+ * @param state - State of the run.
+ * @param action - Any statement but `expect` and those before `start fleet`.
+ */
+export async function runStatement(state: ScenarioState, action: Action): Promise<void> {
+  const handler = HANDLERS[action.kind] as
+    ((of: ScenarioState, what: Action) => Promise<unknown> | void) | undefined;
+  await handler?.(state, action);
+}
+
+function listParty(state: ScenarioState, party: Party): readonly string[] {
+  const vms = [...state.fleet.vms.values()].map((vm) => vm.plan);
+  switch (party.kind) {
+    case 'vm':
+      return [findVm(state, party.name).plan.name];
+    case 'domain':
+      return vms.filter((vm) => vm.failureDomain === party.name).map((vm) => vm.name);
+    default:
+      return vms.map((vm) => vm.name);
+  }
+}
--- a/packages/testkit/src/process/caller/CallerLoad.ts
+++ b/packages/testkit/src/process/caller/CallerLoad.ts
@@ -1,4 +1,5 @@
 import * as crypto from 'node:crypto';
+import { setMaxListeners } from 'node:events';
 import * as undici from 'undici';
 import * as time from '../time/index.js';
 import type { CallerOptions, CallerRoute } from './callerOptions.js';
@@ -37,6 +38,8 @@
   constructor(options: CallerOptions) {
     this.#options = options;
     this.#random = new time.SeededRandom(options.seed);
+    // Every open request may wait for its next retry, so the default limit of listeners is no sign of a leak.
+    setMaxListeners(0, this.#stop.signal);
   }
 
   get name(): string {
--- a/packages/testkit/src/process/caller/sendAttempt.ts
+++ b/packages/testkit/src/process/caller/sendAttempt.ts
@@ -12,7 +12,8 @@
   readonly body: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly timeoutMs: number;
-  readonly dispatcher: undici.Dispatcher;
+  /** Connections to use; the process's own by default. */
+  readonly dispatcher?: undici.Dispatcher;
 }
 
 /** Errors raised before any byte of the request was sent. */
