--- a/packages/scenario/src/process/fleet/ManagedProcess.ts
+++ b/packages/scenario/src/process/fleet/ManagedProcess.ts
@@ -61,9 +61,11 @@
    * @throws ProcessStartError when the process ends first or takes too long.
    */
   async waitReady(): Promise<Readonly<Record<string, unknown>>> {
-    const late = time.waitFor(READY_TIMEOUT_MS).then(() => undefined);
+    const decided = new AbortController();
+    const late = time.waitFor(READY_TIMEOUT_MS, decided.signal).then(() => undefined);
     const ended = this.#ended.then(() => undefined);
     const ready = await Promise.race([this.#ready, late, ended]);
+    decided.abort();
     if (ready === undefined) {
       const cause = this.isRunning ? 'not ready in time' : `ended with ${this.#exitCode}`;
       throw new ProcessStartError(this.name, cause, this.#lines);
@@ -85,7 +87,9 @@
 
   /** Waits for the end of the process; false when it did not end in time. */
   async waitEnd(timeoutMs: number): Promise<boolean> {
-    await Promise.race([this.#ended, time.waitFor(timeoutMs)]);
+    const decided = new AbortController();
+    await Promise.race([this.#ended, time.waitFor(timeoutMs, decided.signal)]);
+    decided.abort();
     return !this.isRunning;
   }
 
--- a/packages/scenario/src/process/fleet/formatNodeSettings.ts
+++ b/packages/scenario/src/process/fleet/formatNodeSettings.ts
@@ -45,7 +45,7 @@
 address = ${plan.platform}
 
 [trust]
-signing-keys = ${formatSigningKey(plan.publicKey)}
+signing-keys = ${plan.publicKey}
 
 [log]
 level = ${plan.logLevel}
@@ -54,8 +54,3 @@
 plain-text = yes
 `;
 }
-
-/** The node's settings take base64, while the bundle package creates base64url. */
-function formatSigningKey(publicKey: string): string {
-  return Buffer.from(publicKey, 'base64url').toString('base64');
-}
