--- a/packages/node/test/process/settings/parseSettings.test.ts
+++ b/packages/node/test/process/settings/parseSettings.test.ts
@@ -90,7 +90,7 @@
         {
           section: 'trust',
           key: 'signing-keys',
-          expected: 'raw ed25519 public keys (32 bytes) in base64, separated by commas',
+          expected: 'ed25519 public keys of 43 base64url characters, separated by commas',
         },
       ],
       [
