--- a/packages/core/src/process/node/FrameDispatcher.ts
+++ b/packages/core/src/process/node/FrameDispatcher.ts
@@ -62,7 +62,7 @@
     const { body } = received.frame;
     const rule = body.case === undefined ? undefined : this.#rules[body.case];
     if (rule === undefined || !isAllowed(rule.direction, received.inbound)) {
-      this.#parts.services.counters.count('framesDropped');
+      this.#parts.services.counters.count(`framesDropped.${body.case}`);
       return;
     }
     (rule as FrameRule<FrameCase>).handle(body.value as ValueOf<FrameCase>, received, nowMs);
@@ -135,6 +135,8 @@
         direction: 'both',
         handle: (_value, from, nowMs) => this.#configure(from, nowMs),
       },
+      // The message `linkUp` has said what the frame says.
+      hello: { direction: 'both', handle: () => undefined },
       crashReport: {
         direction: 'inbound',
         handle: (value, _from, nowMs) => {
