--- a/packages/core/src/process/admission/ConcurrencyLimit.ts
+++ b/packages/core/src/process/admission/ConcurrencyLimit.ts
@@ -1,14 +1,35 @@
 import type { AdmissionEnd } from './AdmissionItem.js';
 
-/** Time between two changes of the limit. */
+/** Time between two changes of the limit, and the answers needed for one unless the longest time has passed. */
 const WINDOW_MS = 100;
+const WINDOW_SAMPLES = 10;
+const LONGEST_WINDOW_MS = 1000;
+
+/** Smallest part of the limit that is left by one cut. */
+const SMALLEST_GRADIENT = 0.7;
+
+/** Failures and shed answers below this part of a window are taken for errors of single calls. */
+const BAD_FRACTION = 0.05;
+
+/** Weight of one answer in the latency; a greater one lets noise pull the floor below the mean. */
+const SAMPLE_WEIGHT = 0.03;
 
 /** Latency up to this multiple of the floor does not lower the limit. */
-const TOLERANCE = 1.5;
+const TOLERANCE = 2;
+
+/** Part of the way to the latency that the floor rises in a window, so that an old minimum is forgotten. */
+const FLOOR_DRIFT = 0.01;
 
 /** Part of the declared slots that a cold backend server gets. */
 const COLD_FRACTION = 0.125;
 
+/** A cut of the limit whose effect on the latency is not known yet. */
+interface Trial {
+  readonly limit: number;
+  readonly latencyMs: number;
+  readonly untilMs: number;
+}
+
 /** Adaptive number of requests that run at once on a backend server. */
 export class ConcurrencyLimit {
   #slots: number;
@@ -27,6 +48,10 @@
 
   #busy = false;
 
+  #isSlowStart = true;
+
+  #trial: Trial | undefined;
+
   /** @param options - `slots`: requests that the backend server is declared to run at once. */
   constructor(options: { slots: number }) {
     this.#slots = Math.max(1, options.slots);
@@ -46,6 +71,8 @@
   reset(): void {
     this.#limit = this.#computeColdLimit();
     this.#latencyMs = undefined;
+    this.#isSlowStart = true;
+    this.#trial = undefined;
   }
 
   /** Reads the number of requests that may run at once; an integer from 1 to the declared slots. */
@@ -77,7 +104,8 @@
     } else {
       this.#bad += 1;
     }
-    if (nowMs - this.#windowStartMs >= WINDOW_MS) {
+    const windowMs = this.#samples < WINDOW_SAMPLES ? LONGEST_WINDOW_MS : WINDOW_MS;
+    if (nowMs - this.#windowStartMs >= windowMs) {
       this.#closeWindow(nowMs);
     }
   }
@@ -96,19 +124,17 @@
     this.#latencyMs =
       this.#latencyMs === undefined
         ? latencyMs
-        : this.#latencyMs + 0.1 * (latencyMs - this.#latencyMs);
+        : this.#latencyMs + SAMPLE_WEIGHT * (latencyMs - this.#latencyMs);
     this.#floorMs = Math.min(this.#floorMs ?? this.#latencyMs, this.#latencyMs);
   }
 
   #closeWindow(nowMs: number): void {
     const badFraction = this.#bad / this.#samples;
-    if (badFraction > 0.05) {
+    if (badFraction > BAD_FRACTION) {
+      this.#isSlowStart = false;
       this.#limit *= 1 - 0.3 * badFraction;
     } else if (this.#floorMs !== undefined && this.#latencyMs !== undefined) {
-      const gradient = Math.max(0.5, Math.min(1, (TOLERANCE * this.#floorMs) / this.#latencyMs));
-      const target = this.#limit * gradient + Math.sqrt(this.#limit);
-      this.#limit = this.#busy || target < this.#limit ? target : this.#limit;
-      this.#floorMs += 0.01 * (this.#latencyMs - this.#floorMs);
+      this.#follow(this.#floorMs, this.#latencyMs, nowMs);
     }
     this.#limit = Math.max(1, Math.min(this.#slots, this.#limit));
     this.#windowStartMs = nowMs;
@@ -117,6 +143,39 @@
     this.#busy = false;
   }
 
+  #follow(floorMs: number, latencyMs: number, nowMs: number): void {
+    this.#floorMs = floorMs + FLOOR_DRIFT * (latencyMs - floorMs);
+    const gradient = (TOLERANCE * floorMs) / latencyMs;
+    if (gradient >= 1) {
+      this.#trial = undefined;
+      this.#grow();
+      return;
+    }
+    this.#isSlowStart = false;
+    if (this.#trial === undefined) {
+      this.#trial = { limit: this.#limit, latencyMs, untilMs: nowMs + 2 * latencyMs };
+      this.#limit *= Math.max(SMALLEST_GRADIENT, gradient);
+    } else if (nowMs >= this.#trial.untilMs) {
+      this.#judge(this.#trial, latencyMs);
+    }
+  }
+
+  /** A cut that did not lower the latency shows that the service itself is slower: that is the new floor. */
+  #judge(trial: Trial, latencyMs: number): void {
+    const expectedMs = trial.latencyMs * (1 - 0.5 * (1 - this.#limit / trial.limit));
+    if (latencyMs > expectedMs) {
+      this.#floorMs = latencyMs;
+      this.#limit = trial.limit;
+    }
+    this.#trial = undefined;
+  }
+
+  #grow(): void {
+    if (this.#busy) {
+      this.#limit += this.#isSlowStart ? this.#limit : Math.sqrt(this.#limit);
+    }
+  }
+
   #computeColdLimit(): number {
     return Math.max(1, Math.ceil(this.#slots * COLD_FRACTION));
   }
--- a/packages/core/src/process/admission/LevelEstimate.ts
+++ b/packages/core/src/process/admission/LevelEstimate.ts
@@ -5,8 +5,8 @@
 /** Time between two changes of the level. */
 const WINDOW_MS = 100;
 
-/** Weight of a window in the smoothed rates; about 3 windows, more than the longest feedback delay of 100 ms. */
-const WINDOW_WEIGHT = 0.3;
+/** Weight of a window in the smoothed rates. */
+const WINDOW_WEIGHT = 0.5;
 
 /** Callers may send this multiple of the capacity, so that the queue never runs dry. */
 const HEADROOM = 1.15;
@@ -18,11 +18,22 @@
 const SMALLEST_FRACTION = 0.02;
 const FIRST_FRACTION = 0.05;
 
-/** Growth of the fractions in a window without overload. */
-const GROWTH = 1.5;
+/**
+ * Growth of the fractions in the first window without overload, and how much it rises with each further one. A fast
+ * first step would bring back the overload that was just ended.
+ */
+const FIRST_GROWTH = 1.1;
+const GROWTH_STEP = 0.1;
+const LARGEST_GROWTH = 2;
+
+/**
+ * Smallest factor of a fraction in one window of overload. Callers follow only after the feedback delay, so that
+ * larger steps would be taken twice.
+ */
+const SMALLEST_CHANGE = 0.6;
 
-/** Part of the way to the computed fraction that is gone in one window of overload. */
-const STEP = 0.5;
+/** Growth, during overload, of the fraction of a workspace inside its share. */
+const SHARE_GROWTH = 1.3;
 
 /** Workspaces on a level, so that the message stays small. */
 const LEVEL_WORKSPACES = 8;
@@ -34,14 +45,13 @@
   readonly arrived: number[];
   /** Smoothed cost a window, by class. */
   readonly rates: number[];
-  /** Admitted fraction in the lowest admitted class, and its smoothed value. */
+  /** Admitted fraction in the lowest admitted class. */
   fraction: number;
-  smoothFraction: number;
 }
 
 /**
- * Estimates which part of their calls the callers should still send. The demand of a workspace is what arrives divided
- * by the fraction that callers were told, both smoothed over more than the feedback delay.
+ * Estimates which part of their calls the callers should still send. In overload, the fraction of each workspace is
+ * changed by the ratio of its fair part of the served rate to what arrives from it.
  */
 export class LevelEstimate {
   readonly #rates = new Map<string, Rate>();
@@ -56,6 +66,8 @@
 
   #refusals = 0;
 
+  #quietWindows = 0;
+
   #windowStartMs: number | undefined;
 
   /**
@@ -129,14 +141,12 @@
         Object.assign(rate.rates, { [priority]: rate.rates[priority] + WINDOW_WEIGHT * change });
       });
       rate.arrived.fill(0);
-      Object.assign(rate, {
-        smoothFraction: rate.smoothFraction + WINDOW_WEIGHT * (rate.fraction - rate.smoothFraction),
-      });
     });
     this.#dropIdle();
   }
 
   #lower(): void {
+    this.#quietWindows = 0;
     const marginal = this.#findMarginalClass();
     if (marginal < this.#lowestClass) {
       this.#setLowestClass(marginal, 1);
@@ -146,10 +156,9 @@
     const parts = divideFairly(left, demands);
     demands.forEach(({ workspace, demand }, index) => {
       const rate = this.#resolveRate(workspace);
-      const target = demand > 0 ? parts[index] / demand : 1;
-      rate.fraction = clamp(rate.fraction + STEP * (target - rate.fraction));
+      rate.fraction = clamp(rate.fraction * computeChange(demand, parts[index]));
     });
-    this.#fraction = Math.min(1, this.#fraction * GROWTH);
+    this.#fraction = Math.min(1, this.#fraction * SHARE_GROWTH);
     const total = demands.reduce((sum, { demand }) => sum + demand, 0);
     if (this.#lowestClass > 0 && left < SMALLEST_FRACTION * total) {
       this.#setLowestClass(this.#lowestClass - 1, 1);
@@ -157,9 +166,11 @@
   }
 
   #raise(): void {
-    this.#fraction = Math.min(1, this.#fraction * GROWTH);
+    const growth = Math.min(LARGEST_GROWTH, FIRST_GROWTH + GROWTH_STEP * this.#quietWindows);
+    this.#quietWindows += 1;
+    this.#fraction = Math.min(1, this.#fraction * growth);
     this.#rates.forEach((rate) => {
-      Object.assign(rate, { fraction: Math.min(1, rate.fraction * GROWTH) });
+      Object.assign(rate, { fraction: Math.min(1, rate.fraction * growth) });
     });
     const isFull = [...this.#rates.values()].every((rate) => rate.fraction >= 1);
     if (this.#lowestClass < LOWEST_CLASS && isFull && this.#fraction >= 1) {
@@ -184,7 +195,7 @@
 
   #computeDemand(rate: Rate): Demand {
     const { workspace, weight } = rate;
-    return { workspace, weight, demand: rate.rates[this.#lowestClass] / rate.smoothFraction };
+    return { workspace, weight, demand: rate.rates[this.#lowestClass] };
   }
 
   #computeShed(rate: Rate): number {
@@ -203,7 +214,7 @@
   #setLowestClass(lowestClass: number, fraction: number): void {
     this.#lowestClass = lowestClass;
     this.#fraction = fraction;
-    this.#rates.forEach((rate) => Object.assign(rate, { fraction, smoothFraction: fraction }));
+    this.#rates.forEach((rate) => Object.assign(rate, { fraction }));
   }
 
   #dropIdle(): void {
@@ -225,7 +236,6 @@
       arrived: [0, 0, 0, 0],
       rates: [0, 0, 0, 0],
       fraction: this.#fraction,
-      smoothFraction: this.#fraction,
     };
     this.#rates.set(workspace, rate);
     return rate;
@@ -236,6 +246,13 @@
   return { workspace, fraction };
 }
 
+function computeChange(demand: number, part: number): number {
+  if (demand <= part) {
+    return SHARE_GROWTH;
+  }
+  return Math.max(SMALLEST_CHANGE, part / demand);
+}
+
 function clamp(fraction: number): number {
   return Math.max(SMALLEST_FRACTION, Math.min(1, fraction));
 }
