Score VMs by latency, badness and load, with ejection and slow start

Cause: the first router followed latency and calls in flight only, so that a VM answering errors fast drew calls, and a VM with a high latency was never tried again. Now failures and refusals are a penalty and a reason for ejection (at most a third, 5 s doubled each time), observations fade in 10 s, the own failure domain is left in proportion to how much slower it is, and a new or restarted VM is drawn with a growing chance.

--- a/packages/core/src/process/routing/Router.ts
+++ b/packages/core/src/process/routing/Router.ts
@@ -1,18 +1,28 @@
 import type { Membership, VmIdentity, VmRecord } from '../membership/index.js';
 import type { RandomSource } from '../time/index.js';
 import type { RoutingOutcome } from './RoutingOutcome.js';
+import { VmStatistics } from './VmStatistics.js';
 
-/** A VM whose link is down becomes a candidate again after this time, so that the link is tried. */
-const LINK_DOWN_MS = 1000;
+/** Latency that is assumed before anything was measured. */
+const UNKNOWN_LATENCY_MS = 10;
 
-/** Weight of a new sample in the observed latency. */
-const SAMPLE_WEIGHT = 0.2;
+/** At most this part of the candidates of a service is ejected. */
+const LARGEST_EJECTED_PART = 1 / 3;
 
-interface VmState {
-  inFlight: number;
-  latencyMs: number;
-  linkDownMs: number | undefined;
-  usedMs: number;
+/** The own failure domain gets everything up to this multiple of the latency elsewhere, and nothing from twice that. */
+const LOCAL_TOLERANCE = 1.1;
+
+/** Part of the calls that leaves the own failure domain all the same, so that the latency elsewhere is known. */
+const EXPLORATION = 0.02;
+
+/** VMs whose statistics are kept, and how long those of a VM without calls are kept when there are more. */
+const VMS = 4096;
+const IDLE_MS = 600_000;
+const SNAPSHOT_VMS = 64;
+
+interface Candidate {
+  readonly vm: VmRecord;
+  readonly statistics: VmStatistics;
 }
 
 /** Chooses the VM for a call: the better of two random candidates, the own failure domain first. */
@@ -23,7 +33,7 @@
 
   readonly #random: RandomSource;
 
-  readonly #states = new Map<string, VmState>();
+  readonly #statistics = new Map<string, VmStatistics>();
 
   /** @param options - Own VM, what is known of the fleet, and the source of choices. */
   constructor(options: { self: VmIdentity; membership: Membership; random: RandomSource }) {
@@ -40,11 +50,15 @@
    * @returns The VM, or undefined if there is no usable candidate.
    */
   choose(service: string, excluded: ReadonlySet<string>, nowMs: number): VmRecord | undefined {
-    const usable = this.#membership
-      .findCandidates(service)
-      .filter((vm) => !excluded.has(vm.name) && this.#isLinkUsable(vm.name, nowMs));
-    const local = usable.filter((vm) => vm.failureDomain === this.#self.failureDomain);
-    return this.#pickBetter(local.length > 0 ? local : usable);
+    const all = this.#findCandidates(service, nowMs);
+    const reachable = all.filter(
+      ({ vm, statistics }) => !excluded.has(vm.name) && statistics.isLinkUsable(nowMs),
+    );
+    const kept = reachable.filter(({ statistics }) => !statistics.isEjected(nowMs));
+    const usable = kept.length > 0 ? kept : reachable;
+    const usualMs = computeUsualMs(all);
+    const group = this.#pickDomain(usable, usualMs, nowMs);
+    return this.#pickBetter(group, usualMs, nowMs)?.vm;
   }
 
   /**
@@ -53,9 +67,7 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   recordSent(vm: string, nowMs: number): void {
-    const state = this.#resolveState(vm);
-    state.inFlight += 1;
-    state.usedMs = nowMs;
+    this.#resolveStatistics(vm, nowMs).recordSent(nowMs);
   }
 
   /**
@@ -65,11 +77,9 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   recordOutcome(vm: string, outcome: RoutingOutcome, nowMs: number): void {
-    const state = this.#resolveState(vm);
-    state.inFlight = Math.max(0, state.inFlight - 1);
-    state.usedMs = nowMs;
-    if (outcome.kind === 'answered' && outcome.latencyMs !== undefined) {
-      state.latencyMs += SAMPLE_WEIGHT * (outcome.latencyMs - state.latencyMs);
+    this.#resolveStatistics(vm, nowMs).recordOutcome(outcome, nowMs);
+    if (outcome.kind === 'failed' || outcome.kind === 'refused') {
+      this.#dropOutlier(vm, nowMs);
     }
   }
 
@@ -80,48 +90,118 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   recordLink(vm: string, up: boolean, nowMs: number): void {
-    this.#resolveState(vm).linkDownMs = up ? undefined : nowMs;
+    this.#resolveStatistics(vm, nowMs).recordLink(up, nowMs);
   }
 
-  /** Shows the VMs for the state dump. */
+  /** Shows the VMs for the state dump, the busiest ones; `nowMs` is monotonic. */
   snapshot(nowMs: number): object {
+    const busiest = [...this.#statistics].sort(
+      ([, left], [, right]) => right.inFlight - left.inFlight || right.usedMs - left.usedMs,
+    );
     return {
-      vms: [...this.#states].slice(0, 64).map(([vm, state]) => ({
-        vm,
-        inFlight: state.inFlight,
-        latencyMs: state.latencyMs,
-        idleMs: nowMs - state.usedMs,
-        linkDownForMs: state.linkDownMs === undefined ? null : nowMs - state.linkDownMs,
-      })),
+      count: this.#statistics.size,
+      vms: busiest
+        .slice(0, SNAPSHOT_VMS)
+        .map(([vm, statistics]) => ({ vm, ...statistics.snapshot(nowMs) })),
     };
   }
 
-  #isLinkUsable(vm: string, nowMs: number): boolean {
-    const downMs = this.#states.get(vm)?.linkDownMs;
-    return downMs === undefined || nowMs - downMs >= LINK_DOWN_MS;
+  #findCandidates(service: string, nowMs: number): readonly Candidate[] {
+    return this.#membership
+      .findCandidates(service)
+      .map((vm) => ({ vm, statistics: this.#resolveStatistics(vm.name, nowMs) }));
   }
 
-  #pickBetter(vms: readonly VmRecord[]): VmRecord | undefined {
-    const first = vms[Math.floor(this.#random.next() * vms.length)];
-    const second = vms[Math.floor(this.#random.next() * vms.length)];
+  #pickDomain(usable: readonly Candidate[], usualMs: number, nowMs: number): readonly Candidate[] {
+    const isLocal = ({ vm }: Candidate): boolean => vm.failureDomain === this.#self.failureDomain;
+    const local = usable.filter(isLocal);
+    const remote = usable.filter((candidate) => !isLocal(candidate));
+    if (local.length === 0 || remote.length === 0) {
+      return usable;
+    }
+    const localMs = computeGroupMs(local, usualMs, nowMs);
+    const ratio = localMs / computeGroupMs(remote, usualMs, nowMs);
+    const remotePart = Math.max(EXPLORATION, ratio / LOCAL_TOLERANCE - 1);
+    return this.#random.next() < remotePart ? remote : local;
+  }
+
+  #pickBetter(group: readonly Candidate[], usualMs: number, nowMs: number): Candidate | undefined {
+    const first = this.#pick(group, nowMs);
+    const second = this.#pick(
+      group.filter((candidate) => candidate !== first),
+      nowMs,
+    );
     if (first === undefined || second === undefined) {
-      return undefined;
+      return first;
+    }
+    const isFirst = computeScore(first, usualMs, nowMs) <= computeScore(second, usualMs, nowMs);
+    return isFirst ? first : second;
+  }
+
+  /** A candidate in slow start is drawn less often: after a rejected draw, another one is taken. */
+  #pick(group: readonly Candidate[], nowMs: number): Candidate | undefined {
+    const drawn = group[Math.floor(this.#random.next() * group.length)];
+    if (drawn === undefined || this.#random.next() < drawn.statistics.computePart(nowMs)) {
+      return drawn;
     }
-    return this.#computeScore(first) <= this.#computeScore(second) ? first : second;
+    const others = group.filter((candidate) => candidate !== drawn);
+    return others[Math.floor(this.#random.next() * others.length)] ?? drawn;
   }
 
-  #computeScore(vm: VmRecord): number {
-    const state = this.#resolveState(vm.name);
-    return (state.inFlight + 1) * (state.latencyMs + 1);
+  #dropOutlier(name: string, nowMs: number): void {
+    const service = this.#membership.find(name)?.service;
+    const all = service === undefined ? [] : this.#findCandidates(service, nowMs);
+    const others = all.filter(({ vm }) => vm.name !== name);
+    const ejected = others.filter(({ statistics }) => statistics.isEjected(nowMs)).length;
+    if (others.length === 0 || ejected + 1 > all.length * LARGEST_EJECTED_PART) {
+      return;
+    }
+    const badness = others.reduce((sum, { statistics }) => sum + statistics.badness, 0);
+    const statistics = this.#resolveStatistics(name, nowMs);
+    if (statistics.isOutlier(badness / others.length, nowMs)) {
+      statistics.drop(nowMs);
+    }
   }
 
-  #resolveState(vm: string): VmState {
-    const known = this.#states.get(vm);
+  #resolveStatistics(vm: string, nowMs: number): VmStatistics {
+    const known = this.#statistics.get(vm);
     if (known !== undefined) {
       return known;
     }
-    const state: VmState = { inFlight: 0, latencyMs: 0, linkDownMs: undefined, usedMs: 0 };
-    this.#states.set(vm, state);
-    return state;
+    if (this.#statistics.size >= VMS) {
+      this.#dropIdle(nowMs);
+    }
+    const statistics = new VmStatistics(nowMs);
+    this.#statistics.set(vm, statistics);
+    return statistics;
   }
+
+  #dropIdle(nowMs: number): void {
+    this.#statistics.forEach((statistics, vm) => {
+      const isIdle = statistics.inFlight === 0 && nowMs - statistics.usedMs > IDLE_MS;
+      if (isIdle || this.#membership.find(vm) === undefined) {
+        this.#statistics.delete(vm);
+      }
+    });
+  }
+}
+
+function computeUsualMs(candidates: readonly Candidate[]): number {
+  const known = candidates
+    .flatMap(({ statistics }) => statistics.latencyMs ?? [])
+    .sort((left, right) => left - right);
+  return known[Math.floor((known.length - 1) / 2)] ?? UNKNOWN_LATENCY_MS;
+}
+
+/** Harmonic mean, because a single slow VM gets few calls of its group. */
+function computeGroupMs(group: readonly Candidate[], usualMs: number, nowMs: number): number {
+  const rates = group.map(
+    ({ statistics }) => 1 / Math.max(0.01, statistics.computeLatencyMs(usualMs, nowMs)),
+  );
+  return group.length / rates.reduce((sum, rate) => sum + rate, 0);
+}
+
+function computeScore({ statistics }: Candidate, usualMs: number, nowMs: number): number {
+  const latencyMs = Math.max(0.01, statistics.computeLatencyMs(usualMs, nowMs));
+  return (statistics.inFlight + 1) * latencyMs;
 }
--- /dev/null
+++ b/packages/core/test/process/routing/Router.test.ts
@@ -0,0 +1,199 @@
+import { expect } from 'chai';
+import type { VmIdentity, VmRecord } from '../../../src/process/membership/index.js';
+import { Membership } from '../../../src/process/membership/index.js';
+import { Router } from '../../../src/process/routing/index.js';
+import { createRandom } from '../../../bench/createRandom.js';
+
+const SELF: VmIdentity = {
+  name: 'entry',
+  service: 'vitrina',
+  failureDomain: 'a',
+  incarnation: '00',
+};
+const SERVICE = 'boleteria';
+
+interface Behaviour {
+  readonly latencyMs: number;
+  readonly kind?: 'answered' | 'failed' | 'refused';
+}
+
+/** A router with simulated VMs: calls arrive every 2 ms and end after the latency of their VM. */
+class Traffic {
+  readonly membership = new Membership(SELF);
+
+  readonly router: Router;
+
+  readonly behaviours = new Map<string, Behaviour>();
+
+  nowMs = 0;
+
+  #ends: { atMs: number; vm: string; behaviour: Behaviour; sentMs: number }[] = [];
+
+  constructor(domains: readonly string[]) {
+    this.router = new Router({ self: SELF, membership: this.membership, random: createRandom(9) });
+    const names = domains.map((_, index) => `vm${index}`);
+    this.replaceList(names, domains);
+    names.forEach((name) => this.behaviours.set(name, { latencyMs: 10 }));
+  }
+
+  replaceList(names: readonly string[], domains: readonly string[]): void {
+    const records = names.map((name, index): VmRecord => ({
+      name,
+      service: SERVICE,
+      failureDomain: domains[index],
+      peerAddress: `10.0.0.${index}:1`,
+      state: 'live',
+    }));
+    this.membership.replaceList(records, this.nowMs);
+  }
+
+  run(calls: number, excluded: ReadonlySet<string> = new Set()): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (let call = 0; call < calls; call++) {
+      this.nowMs += 2;
+      this.#finishDue();
+      const vm = this.router.choose(SERVICE, excluded, this.nowMs);
+      if (vm !== undefined) {
+        counts.set(vm.name, (counts.get(vm.name) ?? 0) + 1);
+        this.#send(vm.name);
+      }
+    }
+    return counts;
+  }
+
+  #send(vm: string): void {
+    const behaviour = this.behaviours.get(vm) ?? { latencyMs: 10 };
+    this.router.recordSent(vm, this.nowMs);
+    this.#ends.push({
+      ...{ vm, behaviour, sentMs: this.nowMs },
+      atMs: this.nowMs + behaviour.latencyMs,
+    });
+  }
+
+  #finishDue(): void {
+    const due = this.#ends.filter((end) => end.atMs <= this.nowMs);
+    this.#ends = this.#ends.filter((end) => end.atMs > this.nowMs);
+    due.forEach(({ vm, behaviour, sentMs }) => {
+      const latencyMs = this.nowMs - sentMs;
+      this.router.recordOutcome(
+        vm,
+        { kind: behaviour.kind ?? 'answered', latencyMs, load: createLoad() },
+        this.nowMs,
+      );
+    });
+  }
+}
+
+function createLoad(): { inFlight: number; queued: number; limit: number } {
+  return { inFlight: 4, queued: 0, limit: 40 };
+}
+
+function count(counts: Map<string, number>, vm: string): number {
+  return counts.get(vm) ?? 0;
+}
+
+describe('Router', () => {
+  it('guards against an uneven load on equal VMs', () => {
+    const traffic = new Traffic(['a', 'a', 'a', 'a', 'a', 'a']);
+    const counts = traffic.run(12_000);
+    expect(counts.size).to.equal(6);
+    counts.forEach((value) => expect(value).to.be.within(1800, 2200));
+  });
+
+  it('guards against a VM that attracts calls because it answers errors fast', () => {
+    const traffic = new Traffic(['a', 'a', 'a', 'a']);
+    traffic.behaviours.set('vm0', { latencyMs: 1, kind: 'failed' });
+    const counts = traffic.run(20_000);
+    expect(count(counts, 'vm0')).to.be.at.most(400);
+  });
+
+  it('guards against a VM of a pair, where none may be ejected, that attracts calls by errors', () => {
+    const traffic = new Traffic(['a', 'a']);
+    traffic.behaviours.set('vm0', { latencyMs: 1, kind: 'failed' });
+    expect(count(traffic.run(10_000), 'vm0')).to.be.at.most(1000);
+  });
+
+  it('guards against many calls to a VM that is 10 times slower', () => {
+    const traffic = new Traffic(['a', 'a', 'a', 'a']);
+    traffic.behaviours.set('vm0', { latencyMs: 100 });
+    expect(count(traffic.run(20_000), 'vm0')).to.be.at.most(1000);
+  });
+
+  it('guards against a VM that stays avoided after it recovered', () => {
+    const traffic = new Traffic(['a', 'a', 'a', 'a']);
+    traffic.behaviours.set('vm0', { latencyMs: 100, kind: 'failed' });
+    traffic.run(5000);
+    traffic.behaviours.set('vm0', { latencyMs: 10 });
+    traffic.run(40_000);
+    expect(count(traffic.run(4000), 'vm0')).to.be.within(800, 1200);
+  });
+
+  it('guards against calls that leave the failure domain without need', () => {
+    const traffic = new Traffic(['a', 'a', 'b', 'b', 'c', 'c']);
+    ['vm2', 'vm3', 'vm4', 'vm5'].forEach((vm) => traffic.behaviours.set(vm, { latencyMs: 13 }));
+    const counts = traffic.run(10_000);
+    expect(count(counts, 'vm0') + count(counts, 'vm1')).to.be.at.least(9500);
+    ['vm0', 'vm1'].forEach((vm) => traffic.behaviours.set(vm, { latencyMs: 60 }));
+    const slow = traffic.run(10_000);
+    expect(count(slow, 'vm0') + count(slow, 'vm1')).to.be.at.most(2000);
+  });
+
+  it('guards against the ejection of more than a third, and of all VMs when all refuse', () => {
+    const traffic = new Traffic(['a', 'a', 'a', 'a', 'a', 'a']);
+    ['vm0', 'vm1', 'vm2'].forEach((vm) =>
+      traffic.behaviours.set(vm, { latencyMs: 5, kind: 'failed' }),
+    );
+    const counts = traffic.run(5000);
+    const { vms } = traffic.router.snapshot(traffic.nowMs) as { vms: { ejectedForMs: number }[] };
+    expect(vms.filter(({ ejectedForMs }) => ejectedForMs > 0)).to.have.lengthOf(2);
+    expect(counts.size).to.equal(6);
+    const refusing = new Traffic(['a', 'a', 'a']);
+    ['vm0', 'vm1', 'vm2'].forEach((vm) =>
+      refusing.behaviours.set(vm, { latencyMs: 5, kind: 'refused' }),
+    );
+    refusing.run(3000);
+    refusing.run(3000).forEach((value) => expect(value).to.be.within(800, 1200));
+  });
+
+  it('guards against ejections that do not grow', () => {
+    const { router } = new Traffic(['a', 'a', 'a', 'a']);
+    let nowMs = 0;
+    const durationsMs = [0, 1, 2].map(() => {
+      Array.from({ length: 12 }).forEach(() =>
+        router.recordOutcome('vm0', { kind: 'failed' }, nowMs),
+      );
+      const { vms } = router.snapshot(nowMs) as { vms: { ejectedForMs: number }[] };
+      const durationMs = Math.max(...vms.map(({ ejectedForMs }) => ejectedForMs));
+      nowMs += durationMs;
+      return durationMs;
+    });
+    expect(durationsMs).to.deep.equal([5000, 10_000, 20_000]);
+  });
+
+  it('guards against the full load on a VM that is newly seen or restarted', () => {
+    const traffic = new Traffic(['a', 'a', 'a']);
+    traffic.run(10_000);
+    traffic.replaceList(['vm0', 'vm1', 'vm2', 'vm3'], ['a', 'a', 'a', 'a']);
+    expect(count(traffic.run(1000), 'vm3')).to.be.within(1, 120);
+    traffic.run(10_000);
+    traffic.router.recordLink('vm0', false, traffic.nowMs);
+    traffic.router.recordLink('vm0', true, traffic.nowMs);
+    expect(count(traffic.run(1000), 'vm0')).to.be.within(1, 120);
+  });
+
+  it('guards against the choice of a leaving, excluded or unreachable VM', () => {
+    const traffic = new Traffic(['a', 'a', 'b']);
+    traffic.membership.markLeaving('vm0', '01');
+    expect(
+      traffic
+        .run(500, new Set(['vm1']))
+        .keys()
+        .next().value,
+    ).to.equal('vm2');
+    traffic.router.recordLink('vm2', false, traffic.nowMs);
+    expect(traffic.router.choose(SERVICE, new Set(['vm1']), traffic.nowMs)).to.equal(undefined);
+    expect([...traffic.run(400).keys()]).to.deep.equal(['vm1']);
+    traffic.run(1000);
+    expect(traffic.router.choose(SERVICE, new Set(['vm1']), traffic.nowMs)?.name).to.equal('vm2');
+  });
+});
--- /dev/null
+++ b/packages/core/test/process/suspects/SuspectTable.test.ts
@@ -0,0 +1,70 @@
+import { expect } from 'chai';
+import { SuspectTable } from '../../../src/process/suspects/index.js';
+
+const BLOCK_MS = 600_000;
+
+function createTable(): SuspectTable {
+  return new SuspectTable({ blockMs: BLOCK_MS });
+}
+
+/**
+ * Sends a poison request to a service again and again, beside innocent ones, and counts the VMs that it crashes.
+ * Crash reports reach the other VMs after `reportAttempts` further attempts.
+ */
+function countLostVms(reportAttempts: number): { lost: number; innocents: string[] } {
+  const table = createTable();
+  const reports: { dueAttempt: number; fingerprints: string[] }[] = [];
+  const innocents = ['seat1', 'seat2', 'seat3'];
+  let lost = 0;
+  for (let attempt = 0; attempt < 100; attempt++) {
+    reports
+      .filter(({ dueAttempt }) => dueAttempt === attempt)
+      .forEach(({ fingerprints }) => table.recordCrash(fingerprints, attempt));
+    innocents
+      .filter((name) => table.findState(name, attempt) === 'suspect')
+      .forEach((name) => table.recordSurvived(name, attempt));
+    const state = table.findState('poison', attempt);
+    if (state !== 'blocked') {
+      const beside = state === 'suspect' || attempt > 0 ? [] : innocents;
+      reports.push({ dueAttempt: attempt + reportAttempts, fingerprints: ['poison', ...beside] });
+      lost += 1;
+    }
+  }
+  return { lost, innocents: innocents.map((name) => table.findState(name, 100)) };
+}
+
+describe('SuspectTable', () => {
+  it('guards against a poison request that takes more VMs than 2 and those lost before a report', () => {
+    expect(countLostVms(1)).to.deep.equal({ lost: 2, innocents: ['clear', 'clear', 'clear'] });
+    expect(countLostVms(4).lost).to.equal(5);
+  });
+
+  it('guards against a block that ends early, is lifted by a survival, or never ends', () => {
+    const table = createTable();
+    table.recordCrash(['poison'], 0);
+    expect(table.findState('poison', 1)).to.equal('suspect');
+    table.recordCrash(['poison', 'poison'], 10);
+    table.recordSurvived('poison', 20);
+    expect(table.findState('poison', 9 + BLOCK_MS)).to.equal('blocked');
+    expect(table.findState('poison', 10 + BLOCK_MS)).to.equal('clear');
+  });
+
+  it('guards against one crash that blocks, when it reports a fingerprint twice', () => {
+    const table = createTable();
+    table.recordCrash(['seat', 'seat'], 0);
+    expect(table.findState('seat', 1)).to.equal('suspect');
+  });
+
+  it('guards against many suspects that push a block out of the table', () => {
+    const table = createTable();
+    table.recordCrash(['poison'], 0);
+    table.recordCrash(['poison'], 1);
+    const names = Array.from({ length: 9000 }, (_, index) => `seat${index}`);
+    names.forEach((name) => table.recordCrash([name], 2));
+    expect(table.findState('poison', 3)).to.equal('blocked');
+    expect(table.findState('seat0', 3)).to.equal('clear');
+    expect(table.findState('seat8999', 3)).to.equal('suspect');
+    expect(table.snapshot(3)).to.include({ suspects: 4095, blocked: 1 });
+    expect(JSON.stringify(table.snapshot(3)).length).to.be.lessThan(10_000);
+  });
+});
