Keep no empty bodies, and do not hand Hello frames to the decisions

The machine names an empty body with the empty name and does not release it, so every empty body would have stayed in the store for ever. Hello is told by linkUp; the machine counted the frame itself as dropped.

--- a/packages/node/src/connection/PeerLink.ts
+++ b/packages/node/src/connection/PeerLink.ts
@@ -29,8 +29,8 @@
   readonly now: () => number;
   /** Checks the `Hello` of the peer; false ends the link. */
   readonly checkHello: (hello: Hello) => boolean;
-  /** Called when the link is up, with the `Hello` frame of the peer. */
-  readonly onUp: (hello: Hello, frame: Frame) => void;
+  /** Called when the link is up, with the `Hello` of the peer. */
+  readonly onUp: (hello: Hello) => void;
   /** Takes a frame whose body is complete. */
   readonly onFrame: (hello: Hello, frame: Frame) => void;
   /** Called once; `hello` is undefined when the link never came up, and then nothing queued was sent. */
@@ -166,7 +166,7 @@
     if (!this.#options.opener) {
       this.#stream.write(this.#options.buildHello());
     }
-    this.#options.onUp(hello, frame);
+    this.#options.onUp(hello);
     const queue = this.#queue;
     this.#queue = [];
     queue.forEach((queued) => this.send(queued.frame, queued.body));
--- a/packages/node/src/connection/PeerLinks.ts
+++ b/packages/node/src/connection/PeerLinks.ts
@@ -132,7 +132,7 @@
     const link: PeerLink = new PeerLink({
       ...this.#buildCommon(transport, false),
       checkHello: (hello) => isValidHello(hello) && (transport.names?.includes(hello.vm) ?? true),
-      onUp: (hello, frame) => this.#enterInbound(link, hello, frame),
+      onUp: (hello) => this.#enterInbound(link, hello),
       onEnd: (end, hello, unfinished) => this.#endInbound(link, hello, end, unfinished),
     });
     this.#arriving.add(link);
@@ -169,7 +169,7 @@
     const link: PeerLink = new PeerLink({
       ...this.#buildCommon(this.#options.connect(peer, address), true),
       checkHello: (hello) => isValidHello(hello) && hello.vm === peer,
-      onUp: (hello, frame) => this.#enterOutbound(peer, hello, frame),
+      onUp: (hello) => this.#enterOutbound(peer, hello),
       onEnd: (end, hello) => this.#endOutbound(peer, link, hello, end),
     });
     this.#outbound.set(peer, link);
@@ -196,21 +196,17 @@
     };
   }
 
-  #enterOutbound(peer: string, { incarnation }: Hello, frame: Frame): void {
-    const { publish } = this.#options;
+  #enterOutbound(peer: string, { incarnation }: Hello): void {
     this.#failedMs.delete(peer);
-    publish({ kind: 'linkUp', peer, incarnation, inbound: false });
-    publish({ kind: 'peerFrame', peer, incarnation, inbound: false, frame });
+    this.#options.publish({ kind: 'linkUp', peer, incarnation, inbound: false });
   }
 
-  #enterInbound(link: PeerLink, hello: Hello, frame: Frame): void {
+  #enterInbound(link: PeerLink, hello: Hello): void {
     const { vm: peer, incarnation } = hello;
-    const { publish } = this.#options;
     this.#arriving.delete(link);
     this.#inbound.get(peer)?.link.close('replaced');
     this.#inbound.set(peer, { link, hello });
-    publish({ kind: 'linkUp', peer, incarnation, inbound: true });
-    publish({ kind: 'peerFrame', peer, incarnation, inbound: true, frame });
+    this.#options.publish({ kind: 'linkUp', peer, incarnation, inbound: true });
   }
 
   #endOutbound(peer: string, link: PeerLink, hello: Hello | undefined, end: LinkEnd): void {
--- a/packages/node/src/process/bodies/BodyStore.ts
+++ b/packages/node/src/process/bodies/BodyStore.ts
@@ -55,7 +55,8 @@
   }
 
   /**
-   * Keeps a body. A body that was kept under the name before is released.
+   * Keeps a body. A body that was kept under the name before is released. An empty body needs no keeping: the decisions
+   * name it with the empty name and do not release it.
    * @param name - Request id or call id.
    * @param bytes - The whole body.
    * @param reservation - Budget taken for it; the store releases it.
@@ -64,6 +65,10 @@
   add(name: string, bytes: Buffer, reservation: Reservation, owner?: string): void {
     const kept = owner ?? this.findOwner(name) ?? '';
     this.release(name);
+    if (bytes.length === 0) {
+      reservation.release();
+      return;
+    }
     this.#bodies.set(name, { bytes, reservation, owner: kept, references: 1 });
   }
 
--- a/packages/node/src/process/host/NodeProcess.ts
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -256,11 +256,10 @@
 
   #buildHello(): ReturnType<typeof buildFrame> {
     const { name, incarnation, service, failureDomain } = this.#self;
-    const bundleVersion = this.#decisions.readCounters().bundleVersion ?? 0;
     const leaving = this.#draining;
     return buildFrame({
       case: 'hello',
-      value: { vm: name, incarnation, service, failureDomain, bundleVersion, leaving },
+      value: { vm: name, incarnation, service, failureDomain, leaving },
     });
   }
 
