Read the TLS files of the peer listener with an own provider

The file provider of grpc-js drops every connection until its first read is done and while a certificate and its key do not match during a renewal: the first link of a test never came up. The provider here begins with a read and keeps the last files that belong together.

--- a/packages/node/src/connection/PeerCredentials.ts
+++ b/packages/node/src/connection/PeerCredentials.ts
@@ -1,13 +1,7 @@
 import { credentials, experimental, ServerCredentials } from '@grpc/grpc-js';
 import type { ChannelCredentials } from '@grpc/grpc-js';
-
-/** TLS files of the peer listener; PEM. */
-export interface PeerTlsFiles {
-  readonly certificate: string;
-  readonly key: string;
-  /** Certificates of the authorities that sign the nodes' certificates. */
-  readonly authorities: string;
-}
+import { TlsFileProvider } from './TlsFileProvider.js';
+import type { PeerTlsFiles } from './TlsFileProvider.js';
 
 /** Time between two looks at the TLS files, in milliseconds. */
 const REFRESH_MS = 5_000;
@@ -32,12 +26,7 @@
       this.channel = credentials.createInsecure();
       return;
     }
-    const provider = new experimental.FileWatcherCertificateProvider({
-      certificateFile: files.certificate,
-      privateKeyFile: files.key,
-      caCertificateFile: files.authorities,
-      refreshIntervalMs: refreshMs,
-    });
+    const provider = new TlsFileProvider(files, refreshMs);
     this.server = experimental.createCertificateProviderServerCredentials(provider, provider, true);
     this.channel = experimental.createCertificateProviderChannelCredentials(provider, provider);
   }
--- /dev/null
+++ b/packages/node/src/connection/TlsFileProvider.ts
@@ -0,0 +1,103 @@
+import { readFileSync } from 'node:fs';
+import { readFile } from 'node:fs/promises';
+import { createSecureContext } from 'node:tls';
+import type { experimental } from '@grpc/grpc-js';
+
+/** TLS files of the peer listener; PEM. */
+export interface PeerTlsFiles {
+  readonly certificate: string;
+  readonly key: string;
+  /** Certificates of the authorities that sign the nodes' certificates. */
+  readonly authorities: string;
+}
+
+interface TlsContent {
+  readonly certificate: Buffer;
+  readonly key: Buffer;
+  readonly authorities: Buffer;
+}
+
+/**
+ * Certificates from files that are read again at intervals. The provider of grpc-js drops every connection until its
+ * first read is done and while the files are being replaced; this one begins with a read and keeps the last files that
+ * belong together.
+ */
+export class TlsFileProvider implements experimental.CertificateProvider {
+  readonly #files: PeerTlsFiles;
+
+  readonly #authorityListeners = new Set<experimental.CaCertificateUpdateListener>();
+
+  readonly #identityListeners = new Set<experimental.IdentityCertificateUpdateListener>();
+
+  #content: TlsContent;
+
+  /**
+   * @param files - TLS files; they must be readable now.
+   * @param refreshMs - Time between two reads, in milliseconds.
+   */
+  constructor(files: PeerTlsFiles, refreshMs: number) {
+    this.#files = files;
+    this.#content = {
+      certificate: readFileSync(files.certificate),
+      key: readFileSync(files.key),
+      authorities: readFileSync(files.authorities),
+    };
+    setInterval(() => {
+      void this.#refresh();
+    }, refreshMs).unref();
+  }
+
+  addCaCertificateListener(listener: experimental.CaCertificateUpdateListener): void {
+    this.#authorityListeners.add(listener);
+    process.nextTick(() => listener({ caCertificate: this.#content.authorities }));
+  }
+
+  removeCaCertificateListener(listener: experimental.CaCertificateUpdateListener): void {
+    this.#authorityListeners.delete(listener);
+  }
+
+  addIdentityCertificateListener(listener: experimental.IdentityCertificateUpdateListener): void {
+    this.#identityListeners.add(listener);
+    process.nextTick(() => listener(this.#buildIdentity()));
+  }
+
+  removeIdentityCertificateListener(
+    listener: experimental.IdentityCertificateUpdateListener,
+  ): void {
+    this.#identityListeners.delete(listener);
+  }
+
+  async #refresh(): Promise<void> {
+    try {
+      const [certificate, key, authorities] = await Promise.all([
+        readFile(this.#files.certificate),
+        readFile(this.#files.key),
+        readFile(this.#files.authorities),
+      ]);
+      this.#accept({ certificate, key, authorities });
+    } catch {
+      // Files that are being replaced are read again at the next interval.
+    }
+  }
+
+  /** Throws when the certificate and the key do not belong together. */
+  #accept(content: TlsContent): void {
+    const former = this.#content;
+    const same = (['certificate', 'key', 'authorities'] as const).every((name) =>
+      content[name].equals(former[name]),
+    );
+    if (same) {
+      return;
+    }
+    createSecureContext({ cert: content.certificate, key: content.key, ca: content.authorities });
+    this.#content = content;
+    this.#authorityListeners.forEach((listener) =>
+      listener({ caCertificate: content.authorities }),
+    );
+    this.#identityListeners.forEach((listener) => listener(this.#buildIdentity()));
+  }
+
+  #buildIdentity(): experimental.IdentityCertificateUpdate {
+    return { certificate: this.#content.certificate, privateKey: this.#content.key };
+  }
+}
--- a/packages/node/src/connection/index.ts
+++ b/packages/node/src/connection/index.ts
@@ -1,6 +1,5 @@
 export { buildFrame } from './LinkStream.js';
 export { connectPeer } from './connectPeer.js';
 export { PeerCredentials } from './PeerCredentials.js';
-export type { PeerTlsFiles } from './PeerCredentials.js';
 export { PeerLinks } from './PeerLinks.js';
 export { PeerServer } from './PeerServer.js';
