--- a/packages/scenario/src/process/fleet/Fleet.ts
+++ b/packages/scenario/src/process/fleet/Fleet.ts
@@ -1,7 +1,6 @@
 import * as fs from 'node:fs/promises';
 import * as os from 'node:os';
 import * as path from 'node:path';
-import * as undici from 'undici';
 import { collector, time } from '@tanagerpond/testkit';
 import { buildBackendOptions, type BackendTuning } from './buildBackendOptions.js';
 import type { Deployment } from './Deployment.js';
@@ -21,8 +20,11 @@
 const SERVING_LIMIT_MS = 30_000;
 const SERVING_POLL_MS = 100;
 
-/** Lease of the share ledger with its margin for clock drift, and a little more for the machine. */
-const LEASE_MARGIN = 1.1;
+/** What the state dump of a node says about its start. */
+interface NodeReadiness {
+  readonly isReady?: boolean;
+  readonly shares?: { readonly own?: { readonly ready?: boolean } };
+}
 
 /** State of a VM in the platform's list; an absent VM is not listed. */
 export type ListState = 'live' | 'leaving' | 'absent';
@@ -85,8 +87,7 @@
   }
 
   /**
-   * Waits until every node serves. A new node lends and uses no share of the rates for one lease, so that time is
-   * waited for as well.
+   * Waits until every node serves. A new node lends and uses no share of the rates for one lease.
    * @throws Error when a node is not ready in time.
    */
   async waitServing(signal?: AbortSignal): Promise<void> {
@@ -97,7 +98,6 @@
       }
       await time.waitFor(SERVING_POLL_MS, signal);
     }
-    await time.waitFor(this.deployment.bundle.fleet.shareLeaseMs * LEASE_MARGIN, signal);
   }
 
   /** Signs the present sections and publishes them. */
@@ -154,22 +154,14 @@
   }
 
   async #isServing(): Promise<boolean> {
-    const reasons = await Promise.all(this.listEntries().map(readRefusalReason));
-    return reasons.every((reason) => reason !== '' && reason !== 'starting');
+    const dumps = await Promise.all([...this.vms.values()].map((vm) => vm.readState()));
+    return dumps.every((dump) => {
+      const decisions = dump?.decisions as NodeReadiness | undefined;
+      return decisions?.isReady === true && decisions.shares?.own?.ready === true;
+    });
   }
 
   #collectPeers(): ReadonlyMap<string, string> {
     return new Map([...this.vms].map(([name, vm]) => [name, vm.listeners.peer]));
   }
 }
-
-/** A request that no route matches shows whether the node serves, without running anything. */
-async function readRefusalReason(entry: string): Promise<string> {
-  try {
-    const answer = await undici.request(`http://${entry}/no-such-service`);
-    await answer.body.dump();
-    return String(answer.headers['tanagerpond-reason'] ?? '');
-  } catch {
-    return '';
-  }
-}
--- /dev/null
+++ b/packages/scenario/src/process/run/describeLoads.ts
@@ -0,0 +1,43 @@
+import { caller } from '@tanagerpond/testkit';
+import type { ScenarioState } from './ScenarioState.js';
+
+/** Reasons shown for one load. */
+const SHOWN_REASONS = 8;
+
+/**
+ * Describes how the requests of each load ended, in one line each; printed when a scenario fails.
+ * @param state - State of the run.
+ */
+export function describeLoads(state: ScenarioState): readonly string[] {
+  return [...state.loads.values()].map((load) => {
+    const { whole, refusedNotRun, unknown, failed, wrong } = caller.collectSummary(load.records);
+    return (
+      `       load ${load.name}: sent ${load.sent}, whole ${whole}, not run ${refusedNotRun}, ` +
+      `unknown ${unknown}, failed ${failed}, wrong ${wrong}; ${describeReasons(load.records)}`
+    );
+  });
+}
+
+/** Also names what the nodes and backend servers printed, which says why they refused or ended. */
+export function describeOutput(state: ScenarioState): readonly string[] {
+  return [...state.fleet.vms.values()].flatMap((vm) =>
+    [vm.node, vm.backend].flatMap((process) =>
+      (process?.output ?? []).slice(1).map((line) => `       ${process?.name}: ${line}`),
+    ),
+  );
+}
+
+function describeReasons(records: readonly caller.RequestRecord[]): string {
+  const counts = new Map<string, number>();
+  records
+    .filter((record) => record.end !== 'whole')
+    .forEach((record) => {
+      const reason = `${record.end}/${record.status}/${record.reason}`;
+      counts.set(reason, (counts.get(reason) ?? 0) + 1);
+    });
+  return [...counts]
+    .sort((left, right) => right[1] - left[1])
+    .slice(0, SHOWN_REASONS)
+    .map(([reason, count]) => `${reason} ${count}`)
+    .join(', ');
+}
--- a/packages/scenario/src/process/run/publishRollout.ts
+++ b/packages/scenario/src/process/run/publishRollout.ts
@@ -46,6 +46,6 @@
 }
 
 function findVersion(dump: Readonly<Record<string, unknown>> | undefined): number {
-  const counters = dump?.counters as { decisions?: { bundleVersion?: number } } | undefined;
-  return counters?.decisions?.bundleVersion ?? 0;
+  const decisions = dump?.decisions as { bundleVersion?: number | null } | undefined;
+  return decisions?.bundleVersion ?? 0;
 }
