--- a/packages/core/src/process/admission/ConcurrencyLimit.ts
+++ b/packages/core/src/process/admission/ConcurrencyLimit.ts
@@ -11,6 +11,9 @@
 /** Failures and shed answers below this part of a window are taken for errors of single calls. */
 const BAD_FRACTION = 0.05;
 
+/** A latency of 0, which a coarse clock can give, would make the gradient undefined. */
+const SMALLEST_LATENCY_MS = 0.01;
+
 /** Weight of one answer in the latency; a greater one lets noise pull the floor below the mean. */
 const SAMPLE_WEIGHT = 0.03;
 
@@ -64,7 +67,8 @@
    */
   configure(slots: number): void {
     this.#slots = Math.max(1, slots);
-    this.#limit = Math.min(this.#limit, this.#slots);
+    const isUntried = this.#latencyMs === undefined && this.#bad === 0;
+    this.#limit = isUntried ? this.#computeColdLimit() : Math.min(this.#limit, this.#slots);
   }
 
   /** Begins a slow start, after the backend server was restarted. */
@@ -120,7 +124,8 @@
     };
   }
 
-  #recordLatency(latencyMs: number): void {
+  #recordLatency(sampleMs: number): void {
+    const latencyMs = Math.max(SMALLEST_LATENCY_MS, sampleMs);
     this.#latencyMs =
       this.#latencyMs === undefined
         ? latencyMs
