Wait for serving nodes before a scenario goes on

The wait had not been wired in, so scenarios began while nodes still refused everything as starting; cold requests also filled the queues.

--- a/packages/scenario/src/process/fleet/Fleet.ts
+++ b/packages/scenario/src/process/fleet/Fleet.ts
@@ -23,6 +23,7 @@
 /** What the state dump of a node says about its start. */
 interface NodeReadiness {
   readonly isReady?: boolean;
+  readonly bundleVersion?: number | null;
   readonly shares?: { readonly own?: { readonly ready?: boolean } };
 }
 
@@ -157,7 +158,11 @@
     const dumps = await Promise.all([...this.vms.values()].map((vm) => vm.readState()));
     return dumps.every((dump) => {
       const decisions = dump?.decisions as NodeReadiness | undefined;
-      return decisions?.isReady === true && decisions.shares?.own?.ready === true;
+      return (
+        decisions?.isReady === true &&
+        decisions.bundleVersion === this.deployment.version &&
+        decisions.shares?.own?.ready === true
+      );
     });
   }
 
--- a/packages/scenario/src/process/run/ScenarioRunner.ts
+++ b/packages/scenario/src/process/run/ScenarioRunner.ts
@@ -46,7 +46,10 @@
     const start = statements.findIndex((statement) => statement.kind === 'startFleet');
     const fleet = await this.#buildFleet(statements.slice(0, start));
     this.#state = this.#buildState(fleet);
-    await this.#runOne(statements[start], () => fleet.start());
+    await this.#runOne(statements[start], async () => {
+      await fleet.start();
+      await fleet.waitServing(this.#abort.signal);
+    });
     for (let index = start + 1; index < statements.length; index++) {
       const statement = statements[index];
       await this.#runOne(statement, () => this.#dispatch(statement));
