--- a/packages/bundle/src/version/BundleError.ts
+++ b/packages/bundle/src/version/BundleError.ts
@@ -51,7 +51,7 @@
  */
 export function describeProblem(problem: BundleProblem): string {
   const place = problem.line === undefined ? problem.file : `${problem.file}:${problem.line}`;
-  const section = problem.section === undefined ? '' : ` [${problem.section}]`;
+  const section = problem.section === undefined ? '' : `: [${problem.section}]`;
   const key = problem.key === undefined ? '' : ` ${problem.key}`;
-  return `${place}:${section}${key}: expected ${problem.expected}`;
+  return `${place}${section}${key}: expected ${problem.expected}`;
 }
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './process/index.js';
--- /dev/null
+++ b/packages/cli/src/process/commands/index.ts
@@ -0,0 +1,6 @@
+export * from './bundleCommands.js';
+export * from './diffBundles.js';
+export * from './keyCommands.js';
+export * from './nodeCommands.js';
+export * from './scenarioCommands.js';
+export * from './showBundle.js';
--- /dev/null
+++ b/packages/cli/src/process/commands/renderState.ts
@@ -0,0 +1,40 @@
+const INDENT = '  ';
+
+/**
+ * Renders a JSON value for reading: one field a line, records of plain values in one line.
+ * @param value - State of a node.
+ * @param depth - Levels of indentation.
+ */
+export function renderState(value: unknown, depth = 0): string {
+  return renderLines(value, depth).join('\n');
+}
+
+function renderLines(value: unknown, depth: number): readonly string[] {
+  if (!isContainer(value)) {
+    return [`${INDENT.repeat(depth)}${String(value)}`];
+  }
+  return Object.entries(value).flatMap(([name, item]) => {
+    const label = Array.isArray(value) ? '-' : `${name}:`;
+    const prefix = `${INDENT.repeat(depth)}${label}`;
+    if (!isContainer(item)) {
+      return [`${prefix} ${String(item)}`];
+    }
+    if (Object.values(item).every((inner) => !isContainer(inner))) {
+      return [`${prefix} ${renderPlain(item)}`];
+    }
+    return [prefix, ...renderLines(item, depth + 1)];
+  });
+}
+
+function renderPlain(item: object): string {
+  const entries = Object.entries(item);
+  if (entries.length === 0) {
+    return 'none';
+  }
+  const isList = Array.isArray(item);
+  return entries.map(([name, inner]) => (isList ? `${inner}` : `${name}=${inner}`)).join(' ');
+}
+
+function isContainer(value: unknown): value is object {
+  return typeof value === 'object' && value !== null;
+}
--- /dev/null
+++ b/packages/cli/src/process/exitCodes.ts
@@ -0,0 +1,11 @@
+/** Exit codes of every command. */
+export const EXIT = {
+  /** Done. */
+  done: 0,
+  /** The check or the run failed. */
+  failed: 1,
+  /** Usage error, or input that cannot be read. */
+  badInput: 2,
+} as const;
+
+export type ExitCode = number;
