Count several reports of one crash once

Cause: the node reports every call in flight of a crash by itself, and equal calls (a read without a body) have the same fingerprint, so that one crash with two equal calls in flight blocked the fingerprint for the whole service. Reports about one VM within 300 ms are now one crash. The VM is a new optional argument of recordCrash, which the node machine passes, so that crashes of different VMs within that time still count. Ruled out: a time window without the VM, which would let a quick re-send take more VMs.

--- a/packages/core/src/process/node/FrameDispatcher.ts
+++ b/packages/core/src/process/node/FrameDispatcher.ts
@@ -137,9 +137,9 @@
       },
       crashReport: {
         direction: 'inbound',
-        handle: (value, _from, nowMs) => {
+        handle: (value, { peer }, nowMs) => {
           if (value.service === services.self.service) {
-            services.suspects.recordCrash(value.fingerprints, nowMs);
+            services.suspects.recordCrash(value.fingerprints, nowMs, peer);
           }
         },
       },
--- a/packages/core/src/process/suspects/SuspectTable.ts
+++ b/packages/core/src/process/suspects/SuspectTable.ts
@@ -7,8 +7,17 @@
 /** Entries shown in a snapshot. */
 const SNAPSHOT_ENTRIES = 64;
 
+/**
+ * Reports of one VM within this time are about one crash: every call in flight is reported, and equal calls have the
+ * same fingerprint. A backend server hardly restarts and crashes again faster.
+ */
+const SAME_CRASH_MS = 300;
+
 interface Entry {
   readonly state: 'suspect' | 'blocked';
+  /** VM and time of the last crash that counted. */
+  readonly vm: string;
+  readonly crashedMs: number;
   readonly untilMs: number;
 }
 
@@ -28,15 +37,20 @@
   }
 
   /**
-   * Records a crash of a backend server of the service.
+   * Records a crash of a backend server of the service. Further reports of the same crash change nothing.
    * @param fingerprints - Fingerprints of the calls that ran on it.
    * @param nowMs - Monotonic time, in milliseconds.
+   * @param vm - VM of the backend server; crashes of different VMs are told apart by it.
    */
-  recordCrash(fingerprints: readonly string[], nowMs: number): void {
+  recordCrash(fingerprints: readonly string[], nowMs: number, vm = ''): void {
     new Set(fingerprints).forEach((fingerprint) => {
+      if (this.#isSameCrash(fingerprint, nowMs, vm)) {
+        return;
+      }
       const state = this.findState(fingerprint, nowMs) === 'clear' ? 'suspect' : 'blocked';
       this.#entries.delete(fingerprint);
-      this.#entries.set(fingerprint, { state, untilMs: nowMs + this.#blockMs });
+      const untilMs = nowMs + this.#blockMs;
+      this.#entries.set(fingerprint, { state, vm, crashedMs: nowMs, untilMs });
     });
     this.#dropOldest();
   }
@@ -76,6 +90,11 @@
     };
   }
 
+  #isSameCrash(fingerprint: string, nowMs: number, vm: string): boolean {
+    const entry = this.#entries.get(fingerprint);
+    return entry !== undefined && entry.vm === vm && nowMs - entry.crashedMs < SAME_CRASH_MS;
+  }
+
   #dropOldest(): void {
     const excess = this.#entries.size - CAPACITY;
     if (excess <= 0) {
--- a/packages/core/src/request/calls/BackendRuns.ts
+++ b/packages/core/src/request/calls/BackendRuns.ts
@@ -250,7 +250,7 @@
   #reportCrash(call: ExitCall, nowMs: number): void {
     const { suspects, membership, outbox, self, counters } = this.#services;
     counters.count('crashesSuspected');
-    suspects.recordCrash([call.fingerprint], nowMs);
+    suspects.recordCrash([call.fingerprint], nowMs, self.name);
     const fields = { service: self.service, fingerprints: [call.fingerprint] };
     membership
       .findService(self.service)
