--- a/packages/core/src/process/admission/LevelEstimate.ts
+++ b/packages/core/src/process/admission/LevelEstimate.ts
@@ -2,13 +2,8 @@
 import { divideFairly } from './divideFairly.js';
 import type { Demand } from './divideFairly.js';
 
-/**
- * Shortest and longest time between two changes of the level, and the arrivals that end a window in between. Fewer
- * would make the rates of a small VM mostly noise.
- */
+/** Time between two changes of the level. */
 const WINDOW_MS = 100;
-const LONGEST_WINDOW_MS = 400;
-const WINDOW_ARRIVALS = 40;
 
 /** Weight of a window in the smoothed rates. */
 const WINDOW_WEIGHT = 0.5;
@@ -71,8 +66,6 @@
 
   #refusals = 0;
 
-  #arrivals = 0;
-
   #quietWindows = 0;
 
   #windowStartMs: number | undefined;
@@ -84,7 +77,6 @@
    */
   recordArrival(item: AdmissionItem, nowMs: number): void {
     this.#windowStartMs ??= nowMs;
-    this.#arrivals += 1;
     const rate = this.#resolveRate(item.workspace);
     rate.weight = item.weight;
     rate.arrived[Math.min(LOWEST_CLASS, item.priority)] += item.cost;
@@ -115,11 +107,9 @@
    * @param crowded - Whether the queue is long.
    */
   advance(nowMs: number, crowded: boolean): void {
-    const enough = this.#arrivals >= WINDOW_ARRIVALS ? WINDOW_MS : LONGEST_WINDOW_MS;
-    if (this.#windowStartMs === undefined || nowMs - this.#windowStartMs < enough) {
+    if (this.#windowStartMs === undefined || nowMs - this.#windowStartMs < WINDOW_MS) {
       return;
     }
-    this.#arrivals = 0;
     this.#closeWindow((nowMs - this.#windowStartMs) / WINDOW_MS);
     if (this.#refusals > 0 || crowded) {
       this.#lower();
