--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -36,6 +36,10 @@
       ],
     },
   },
+  {
+    files: ['**/bench/**'],
+    rules: { 'no-console': 'off' },
+  },
   {
     files: ['**/test/**'],
     rules: {
