Let the two services of the platform fail apart, and warm a fleet up

A node that starts while the VM list is down knows no peer address, so that case is another one than a configuration service that is down. Cold backend servers and nodes refused 20 to 60% of the first second's requests as overloaded, which hid what the scenarios are about.

--- a/packages/scenario/src/process/language/Statement.ts
+++ b/packages/scenario/src/process/language/Statement.ts
@@ -53,6 +53,7 @@
 
 export type ChangeVerb = 'start' | 'stop' | 'kill' | 'freeze' | 'resume';
 export type ChangePart = 'node of' | 'backend server of' | 'VM';
+export type PlatformPart = 'platform' | 'configuration service' | 'VM list';
 export type PlatformState = 'stops' | 'goes silent' | 'goes stale' | 'resumes';
 
 /** What a line of a scenario says. Times are in milliseconds. */
@@ -72,8 +73,9 @@
   | { readonly kind: 'work'; readonly route: string; readonly durationMs: number }
   | { readonly kind: 'cold' | 'wait' | 'lag'; readonly durationMs: number }
   | { readonly kind: 'startFleet' | 'waitLoads' | 'heal' }
+  /** Serves for a while so that caches, limits and compiled code are warm; its runs are not counted. */
   | {
-      readonly kind: 'load';
+      readonly kind: 'load' | 'warmUp';
       readonly name: string;
       readonly workspace: string;
       readonly routes: readonly string[];
@@ -94,7 +96,11 @@
       readonly right: Party;
       readonly manner: 'silently' | 'refusing';
     }
-  | { readonly kind: 'platform'; readonly state: PlatformState }
+  | {
+      readonly kind: 'platform';
+      readonly part: PlatformPart;
+      readonly state: PlatformState;
+    }
   | {
       readonly kind: 'listed';
       readonly vm: string;
--- a/packages/scenario/src/process/language/grammar.ts
+++ b/packages/scenario/src/process/language/grammar.ts
@@ -4,7 +4,7 @@
 export const grammar = ohm.grammar(String.raw`
 Scenario {
   Statement
-    = Deployment | Set | Work | Cold | StartFleet | Load | StopLoad | Wait | Change | Cut | Heal | Platform | Lag
+    = Deployment | Set | Work | Cold | StartFleet | WarmUp | Load | StopLoad | Wait | Change | Cut | Heal | Platform | Lag
     | Listed | Withdraw | RollOut | Crash | Slow | Health | Expect
 
   Deployment = "deployment" name "with" integer "VMs" "per" "service" DomainCount?
@@ -24,6 +24,7 @@
     | "exposing" "the" "key" "in" place          -- exposing
     | "with" "bodies" "of" integer "bytes"       -- bodies
     | "giving" "up" "after" duration             -- timeout
+  WarmUp = "warm" "up" "of" name "on" NonemptyListOf<name, ","> "at" number "per" "second" "for" duration
   StopLoad = "end" "load" name
   Wait
     = "wait" "for" "load" name                   -- load
@@ -38,7 +39,7 @@
     | "everything"                               -- everything
   Heal = "heal" "all" "links"
 
-  Platform = "platform" platformState
+  Platform = platformPart platformState
   Lag = "list" "lags" duration
   Listed = "list" "shows" name "as" listState
   Withdraw = "withdraw" "key" "of" name
@@ -83,6 +84,7 @@
   part = ("node of" | "backend server of" | "VM") ~alnum
   manner = ("silently" | "refusing") ~alnum
   place = ("header" | "query" | "encoded query" | "body") ~alnum
+  platformPart = ("platform" | "configuration service" | "VM list") ~alnum
   platformState = ("stops" | "goes silent" | "goes stale" | "resumes") ~alnum
   listState = ("live" | "leaving" | "absent") ~alnum
   healthState = ("healthy" | "draining") ~alnum
--- a/packages/scenario/src/process/run/ScenarioRunner.ts
+++ b/packages/scenario/src/process/run/ScenarioRunner.ts
@@ -159,6 +159,7 @@
       withdrawnMs: new Map(),
       leavingMs: new Map(),
       expectedEnds: new Set(),
+      firstRun: 0,
       rollout: undefined,
       seed: this.#options.seed,
       signal: this.#abort.signal,
--- a/packages/scenario/src/process/run/ScenarioState.ts
+++ b/packages/scenario/src/process/run/ScenarioState.ts
@@ -21,6 +21,8 @@
   readonly leavingMs: Map<string, number>;
   /** Backend servers and nodes that ended although no statement ended them. */
   readonly expectedEnds: Set<string>;
+  /** Runs before this one belong to the warm-up. */
+  readonly firstRun: number;
   rollout: Rollout | undefined;
   /** Loads take the seeds from this one on, in the order in which they start. */
   readonly seed: number;
--- a/packages/scenario/src/process/run/measureValue.ts
+++ b/packages/scenario/src/process/run/measureValue.ts
@@ -96,7 +96,8 @@
 }
 
 function countRuns(state: ScenarioState, route: string): number {
-  return state.fleet.runs.runs.filter((run) => run.route === route).length;
+  const counted = state.fleet.runs.runs.slice(state.firstRun);
+  return counted.filter((run) => run.route === route).length;
 }
 
 /** Time from the withdrawal to the start of the last request that was still served. */
--- a/packages/scenario/src/process/run/runStatement.ts
+++ b/packages/scenario/src/process/run/runStatement.ts
@@ -20,9 +20,20 @@
   resumes: 'normal',
 } as const;
 
+const PLATFORM_PARTS = {
+  platform: ['bundle', 'list'],
+  'configuration service': ['bundle'],
+  'VM list': ['list'],
+} as const;
+
 /** What each kind of statement does once the fleet runs; the kinds before that are settings of the fleet. */
 const HANDLERS: Handlers = {
   load: startLoad,
+  warmUp: async (state, action) => {
+    startLoad(state, action);
+    await state.running.get(action.name);
+    Object.assign(state, { firstRun: state.fleet.runs.runs.length });
+  },
   stopLoad: (state, action) => findLoad(state, action.load).stop(),
   wait: (state, action) => time.waitFor(action.durationMs, state.signal),
   waitLoad: (state, action) => state.running.get(action.load),
@@ -39,7 +50,10 @@
     state.fleet.links.setState(everything, everything, 'open');
   },
   platform: (state, action) =>
-    state.fleet.platform.send('/mode', { mode: PLATFORM_MODES[action.state] }),
+    state.fleet.platform.send('/mode', {
+      parts: PLATFORM_PARTS[action.part],
+      mode: PLATFORM_MODES[action.state],
+    }),
   lag: (state, action) => state.fleet.platform.send('/lag', { lagMs: action.durationMs }),
   listed: (state, action) => state.fleet.setListState(action.vm, action.state),
   withdraw: async (state, action) => {
--- a/packages/scenario/src/process/run/startLoad.ts
+++ b/packages/scenario/src/process/run/startLoad.ts
@@ -2,10 +2,10 @@
 import { caller } from '@tanagerpond/testkit';
 import { match, P } from 'ts-pattern';
 import { buildTarget, type Deployment, type Fleet } from '../fleet/index.js';
-import type { Action, KeyPlace, LoadOption } from '../language/index.js';
+import type { Action, KeyPlace, LoadOption, OfKind } from '../language/index.js';
 import type { ScenarioState } from './ScenarioState.js';
 
-type LoadAction = Extract<Action, { kind: 'load' }>;
+type LoadAction = OfKind<Action, 'load'>;
 
 type Change = Partial<caller.CallerOptions>;
 
--- a/packages/testkit/src/process/platform/PlatformControl.ts
+++ b/packages/testkit/src/process/platform/PlatformControl.ts
@@ -3,7 +3,10 @@
 import * as connection from '../../connection/index.js';
 import type { PlatformServer, PublishedList } from './PlatformServer.js';
 
-const modeSchema = z.object({ mode: z.enum(['normal', 'stale', 'silent', 'down']) });
+const modeSchema = z.object({
+  parts: z.array(z.enum(['bundle', 'list'])),
+  mode: z.enum(['normal', 'stale', 'silent', 'down']),
+});
 const lagSchema = z.object({ lagMs: z.number().min(0) });
 const listSchema = z.object({
   vms: z.array(
@@ -50,7 +53,7 @@
       '/lag': () => {
         this.#lagMs = lagSchema.parse(JSON.parse(body)).lagMs;
       },
-      '/mode': () => this.#platform.setMode(modeSchema.parse(JSON.parse(body)).mode),
+      '/mode': () => this.#setModes(modeSchema.parse(JSON.parse(body))),
       '/reader': () => this.#openReader(body),
       '/counters': () => this.#platform.snapshot(performance.now()),
     };
@@ -66,6 +69,10 @@
     }
   }
 
+  #setModes({ parts, mode }: z.infer<typeof modeSchema>): void {
+    parts.forEach((part) => this.#platform.setMode(part, mode));
+  }
+
   #publishList(list: PublishedList): void {
     this.#platform.publishList(list, this.#lagMs);
   }
