--- a/packages/scenario/src/process/run/ScenarioRunner.ts
+++ b/packages/scenario/src/process/run/ScenarioRunner.ts
@@ -1,7 +1,7 @@
 import { time, type caller } from '@tanagerpond/testkit';
 import { Deployment, findDeploymentFolder, Fleet, type BackendTuning } from '../fleet/index.js';
 import { ScenarioError, type Action, type OfKind, type Statement } from '../language/index.js';
-import { describeLoads, describeOutput } from './describeLoads.js';
+import { describeAdmission, describeLoads, describeOutput } from './describeLoads.js';
 import { measureValue } from './measureValue.js';
 import { runStatement } from './runStatement.js';
 import type { ScenarioState } from './ScenarioState.js';
@@ -78,7 +78,8 @@
       await action();
     } catch (error) {
       if (this.#state !== undefined) {
-        [...describeLoads(this.#state), ...describeOutput(this.#state)].forEach(log);
+        const admission = await describeAdmission(this.#state);
+        [...describeLoads(this.#state), ...admission, ...describeOutput(this.#state)].forEach(log);
       }
       throw error instanceof ScenarioError
         ? error
--- a/packages/scenario/src/process/run/describeLoads.ts
+++ b/packages/scenario/src/process/run/describeLoads.ts
@@ -27,6 +27,18 @@
   );
 }
 
+/** Names the limit of each admission queue, which explains refusals as overloaded. */
+export async function describeAdmission(state: ScenarioState): Promise<readonly string[]> {
+  const vms = [...state.fleet.vms.values()].filter((vm) => vm.isServing);
+  return Promise.all(
+    vms.map(async (vm) => {
+      const decisions = (await vm.readState())?.decisions as { admission?: object } | undefined;
+      const { limit, level, load } = (decisions?.admission ?? {}) as Record<string, unknown>;
+      return `       node ${vm.plan.name}: ${JSON.stringify({ limit, level, load })}`;
+    }),
+  );
+}
+
 function describeReasons(records: readonly caller.RequestRecord[]): string {
   const counts = new Map<string, number>();
   records
--- a/packages/testkit/src/process/backend/BackendServer.ts
+++ b/packages/testkit/src/process/backend/BackendServer.ts
@@ -134,34 +134,39 @@
     const signal = Number.isFinite(deadline)
       ? AbortSignal.any([cancellation.signal, AbortSignal.timeout(Math.max(1, deadline))])
       : cancellation.signal;
-    const status = await this.#work({ route, requestId, attemptId, headers, signal });
+    const failure = await this.#work({ route, requestId, attemptId, headers, signal });
     if (cancellation.signal.aborted) {
       this.#counters.cancelled += 1;
       return;
     }
+    const status = failure === undefined ? 200 : 502;
     connection.answerJson(response, signal.aborted ? 504 : status, {
       requestId,
+      failure,
       bodyDigest: crypto.createHash('sha256').update(body).digest('hex'),
       vm: this.#options.vm,
       filler: 'x'.repeat(this.#options.answerBytes),
     });
   }
 
-  /** Half of the own work comes before the calls and half after them. */
-  async #work(work: Work): Promise<number> {
+  /**
+   * Half of the own work comes before the calls and half after them.
+   * @returns The call that failed, if one did.
+   */
+  async #work(work: Work): Promise<string | undefined> {
     await this.#spend(work.route.serviceMs / 2, work.signal);
-    let status = 200;
-    for (let index = 0; index < work.route.calls.length && status === 200; index++) {
+    let failure: string | undefined;
+    for (let index = 0; index < work.route.calls.length && failure === undefined; index++) {
       if (work.signal.aborted) {
-        return 504;
+        return 'deadline';
       }
-      status = await this.#call(work, work.route.calls[index], index);
+      failure = await this.#call(work, work.route.calls[index], index);
     }
     await this.#spend(work.route.serviceMs / 2, work.signal);
-    return status === 200 ? 200 : 502;
+    return failure;
   }
 
-  async #call(work: Work, call: BackendCall, index: number): Promise<number> {
+  async #call(work: Work, call: BackendCall, index: number): Promise<string | undefined> {
     const suffix = `/${index}.${call.route}`;
     const target = call.target.replaceAll(/:[^/]+/g, () => this.#pickNumber());
     const answer = await callEgress({
@@ -176,7 +181,7 @@
     if (answer.outcome === 'not-run') {
       await this.#reporter.recordRefusal(work.attemptId + suffix);
     }
-    return answer.status;
+    return answer.status === 200 ? undefined : `${call.route}:${answer.status}:${answer.reason}`;
   }
 
   #pickNumber(): string {
--- a/packages/testkit/src/process/backend/callEgress.ts
+++ b/packages/testkit/src/process/backend/callEgress.ts
@@ -13,15 +13,22 @@
   readonly signal: AbortSignal;
 }
 
+/** How a call ended for the backend server that made it. */
+export interface EgressAnswer {
+  readonly status: number;
+  readonly outcome: string;
+  readonly reason: string;
+}
+
 /** Pipelining off and no connection limit: the egress listener decides what waits. */
 const agent = new undici.Agent({ connections: null, keepAliveTimeout: 60_000 });
 
 /**
  * Calls another service through the egress listener of the own node.
  * @param call - What to call.
- * @returns The status, 502 when the call itself failed, and the outcome that the node reported.
+ * @returns The status, 502 when the call itself failed, and what the node reported.
  */
-export async function callEgress(call: EgressCall): Promise<{ status: number; outcome: string }> {
+export async function callEgress(call: EgressCall): Promise<EgressAnswer> {
   try {
     const hasBody = call.method !== 'GET' && call.method !== 'HEAD';
     const answer = await undici.request(`${call.origin}${call.target}`, {
@@ -39,8 +46,9 @@
     const text = await answer.body.text();
     const isWhole = answer.statusCode !== 200 || text.includes(`"requestId":"${call.requestId}"`);
     const outcome = String(answer.headers['tanagerpond-outcome'] ?? '');
-    return { status: isWhole ? answer.statusCode : 502, outcome };
+    const reason = isWhole ? String(answer.headers['tanagerpond-reason'] ?? '') : 'notWhole';
+    return { status: isWhole ? answer.statusCode : 502, outcome, reason };
   } catch {
-    return { status: 502, outcome: 'unknown' };
+    return { status: 502, outcome: 'unknown', reason: 'connectionLost' };
   }
 }
--- a/packages/testkit/src/process/caller/sendAttempt.ts
+++ b/packages/testkit/src/process/caller/sendAttempt.ts
@@ -65,9 +65,15 @@
 ): AttemptResult {
   const outcome = String(headers['tanagerpond-outcome'] ?? 'complete');
   const reason = String(headers['tanagerpond-reason'] ?? '');
+  const failure = status === 200 ? '' : readFailure(text);
   const ticket = headers['tanagerpond-ticket'];
   const end = OUTCOME_ENDS[outcome] ?? checkBody(attempt, status, reason, text);
-  return { end, status, reason, ...(ticket === undefined ? {} : { ticket: String(ticket) }) };
+  return {
+    end,
+    status,
+    reason: reason || failure,
+    ...(ticket === undefined ? {} : { ticket: String(ticket) }),
+  };
 }
 
 function checkBody(attempt: Attempt, status: number, reason: string, text: string): RequestEnd {
@@ -89,3 +95,13 @@
     return false;
   }
 }
+
+/** A backend server names the call of its own that failed. */
+function readFailure(text: string): string {
+  try {
+    const { failure } = JSON.parse(text) as { failure?: unknown };
+    return typeof failure === 'string' ? failure : '';
+  } catch {
+    return '';
+  }
+}
