--- a/packages/core/src/request/calls/AttemptAllowance.ts
+++ b/packages/core/src/request/calls/AttemptAllowance.ts
@@ -1,7 +1,7 @@
 /**
  * Extra attempts that a call and its subtree may still make. Every extra attempt anywhere in the tree takes one unit out
- * of exactly one allowance, and units only move between parent and child, so the whole tree makes at most as many
- * attempts as it has calls plus the allowance of its root.
+ * of exactly one allowance, and units only move between parent and child. So no call of the tree is attempted more often
+ * than one time and the allowance of its root, however deep it is.
  */
 export class AttemptAllowance {
   #remaining: number;
