Count the watches of the VM list in the limit of reads, and spread by fleet size

Every node also watches the list of VMs, and those watches count against the same limit: 600 reads a second for 18,000 nodes that wait 30 s each. With the former spread of 18 s a fleet that falls silent would have made 2,429 reads in its worst second. The spread now follows the size of the fleet, at 400 reads a second: 45 s for 18,000 nodes, 1,829 reads in all; a small fleet reads within 2 s, where it waited up to 18 s before.

--- a/packages/core/src/version/configuration/ServiceReading.ts
+++ b/packages/core/src/version/configuration/ServiceReading.ts
@@ -14,11 +14,16 @@
 const SILENCE_MS = 30_000;
 
 /**
- * The read then waits for a random part of this time. If all 18,000 nodes of the designed size fall silent at once, they
- * read at 18,000 / 18 s = 1,000 a second. With the 46 watchers of 23 failure domains and the restart of a whole
- * failure domain (783 nodes) in the same second, that is 1,829 reads, below the limit of 2,000.
+ * The read then waits for a random part of a time in which the whole fleet makes 400 reads a second. If all 18,000 nodes
+ * of the designed size fall silent at once, that time is 45 s. With 600 reads a second by the watches of the list of
+ * VMs (18,000 nodes, 30 s each), 46 watchers of 23 failure domains and the restart of a whole failure domain
+ * (783 nodes) in the same second, these are 1,829 reads, below the limit of 2,000.
  */
-export const READ_SPREAD_MS = 18_000;
+const FLEET_READS_PER_SECOND = 400;
+const MIN_SPREAD_MS = 2_000;
+
+/** Spread while the size of the fleet is not known. */
+const MAX_SPREAD_MS = 45_000;
 
 /** Leaving marks change the ranking without a new list. */
 const RANK_CHECK_MS = 10_000;
@@ -68,7 +73,7 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   scheduleRead(nowMs: number): void {
-    this.#readAtMs ??= nowMs + this.#random.next() * READ_SPREAD_MS;
+    this.#readAtMs ??= nowMs + this.#random.next() * this.#computeSpread();
   }
 
   /**
@@ -84,6 +89,14 @@
     return { watching: this.#watching, newsAgeMs: nowMs - this.#newsMs };
   }
 
+  #computeSpread(): number {
+    const nodes = this.#membership
+      .listFailureDomains()
+      .reduce((sum, domain) => sum + this.#membership.findInDomain(domain).length, 0);
+    const spreadMs = (nodes * 1_000) / FLEET_READS_PER_SECOND;
+    return nodes === 0 ? MAX_SPREAD_MS : Math.max(MIN_SPREAD_MS, spreadMs);
+  }
+
   #readWhenDue(nowMs: number): readonly ConfigurationCommand[] {
     if (this.#readAtMs === undefined && nowMs - this.#newsMs >= SILENCE_MS) {
       this.scheduleRead(nowMs);
--- a/packages/core/test/version/configuration/ServiceReading.test.ts
+++ b/packages/core/test/version/configuration/ServiceReading.test.ts
@@ -6,6 +6,7 @@
 const SERVICE_READS_PER_SECOND = 2_000;
 const FLEET_NODES = 18_000;
 const READERS = 46;
+const LIST_WATCHES_PER_SECOND = 600;
 const NODES_PER_DOMAIN = Math.ceil(FLEET_NODES / 23);
 const SILENCE_MS = 30_000;
 const STEP_MS = 250;
@@ -15,7 +16,7 @@
   it('guards against a fleet that reads faster than the service allows when all nodes fall silent', () => {
     const nodes = Array.from({ length: FLEET_NODES }, (_, index) => createReading(index));
     const reads = new Map<number, number>();
-    const steps = Array.from({ length: (2 * SILENCE_MS) / STEP_MS }, (_, step) => step * STEP_MS);
+    const steps = Array.from({ length: (3 * SILENCE_MS) / STEP_MS }, (_, step) => step * STEP_MS);
     steps.forEach((nowMs) => {
       const second = Math.floor(nowMs / 1_000);
       const due = nodes.filter((node) => isReading(node, nowMs)).length;
@@ -24,12 +25,23 @@
     const total = [...reads.values()].reduce((sum, count) => sum + count, 0);
     const peak = Math.max(...reads.values());
     expect(total).to.be.at.least(FLEET_NODES);
-    expect(peak + READERS + NODES_PER_DOMAIN).to.be.below(SERVICE_READS_PER_SECOND);
+    const others = READERS + NODES_PER_DOMAIN + LIST_WATCHES_PER_SECOND;
+    expect(peak + others).to.be.below(SERVICE_READS_PER_SECOND);
     expect(
       Math.min(...[...reads].filter(([, count]) => count > 0).map(([second]) => second)),
     ).to.equal(30);
   });
 
+  it('guards against a large fleet that spreads its reads like a small one', () => {
+    const delays = [40, 18_000].map((count) => {
+      const node = createReading(1, count);
+      const steps = Array.from({ length: 400 }, (_, step) => step * STEP_MS);
+      return steps.find((nowMs) => isReading(node, nowMs)) ?? Infinity;
+    });
+    expect(delays[0]).to.be.within(SILENCE_MS, SILENCE_MS + 2_000);
+    expect(delays[1]).to.be.within(SILENCE_MS + 20_000, SILENCE_MS + 25_000);
+  });
+
   it('guards against a read by a node that hears its peers', () => {
     const node = createReading(1);
     for (let nowMs = 0; nowMs < 300_000; nowMs += STEP_MS) {
@@ -45,12 +57,18 @@
   return node.advance(nowMs).some(({ kind }) => kind === 'readService');
 }
 
-function createReading(index: number): ServiceReading {
+/** Creates the reading of one node; with `listed` VMs in its list, it draws a delay of half the spread. */
+function createReading(index: number, listed = 0): ServiceReading {
   const self = { name: `vm-${index}`, service: 'shop', failureDomain: 'fd', incarnation: 'i' };
-  return new ServiceReading({
-    self,
-    membership: new membership.Membership(self),
-    random: RANDOM,
-    startedMs: 0,
-  });
+  const list = new membership.Membership(self);
+  const vms = Array.from({ length: listed }, (_, vm) => ({
+    ...self,
+    name: `vm-${vm}`,
+    failureDomain: `fd-${vm % 23}`,
+    peerAddress: '',
+    state: 'live' as const,
+  }));
+  list.replaceList(vms, 0);
+  const random = listed === 0 ? RANDOM : { next: () => 0.5 };
+  return new ServiceReading({ self, membership: list, random, startedMs: 0 });
 }
