Take only a queue that stays long for overload

Cause: the level was lowered whenever the queue was long at the end of a window, which happens in short bursts of a small VM.

--- a/packages/core/src/process/admission/LevelEstimate.ts
+++ b/packages/core/src/process/admission/LevelEstimate.ts
@@ -66,6 +66,9 @@
 
   #refusals = 0;
 
+  /** The queue was long all the time since the window began; a short burst is no overload. */
+  #isCrowded = true;
+
   #quietWindows = 0;
 
   #windowStartMs: number | undefined;
@@ -104,19 +107,21 @@
   /**
    * Changes the level if a window has passed.
    * @param nowMs - Monotonic time, in milliseconds.
-   * @param crowded - Whether the queue is long.
+   * @param crowded - Whether the queue is long now.
    */
   advance(nowMs: number, crowded: boolean): void {
+    this.#isCrowded &&= crowded;
     if (this.#windowStartMs === undefined || nowMs - this.#windowStartMs < WINDOW_MS) {
       return;
     }
     this.#closeWindow((nowMs - this.#windowStartMs) / WINDOW_MS);
-    if (this.#refusals > 0 || crowded) {
+    if (this.#refusals > 0 || this.#isCrowded) {
       this.#lower();
     } else {
       this.#raise();
     }
     this.#refusals = 0;
+    this.#isCrowded = true;
     this.#windowStartMs = nowMs;
   }
 
