--- a/packages/core/bench/createScenario.ts
+++ b/packages/core/bench/createScenario.ts
@@ -16,6 +16,12 @@
 
 /** What happens in the middle of a run. */
 export const SURGES = {
+  none: {
+    description: 'no surge, 0.7 of the capacity all the time',
+    classes: CLASS_MIX,
+    rates: createRates(NORMAL_LOAD),
+    slowdown: 1,
+  },
   triple: {
     description: 'every workspace sends 3 times the capacity in all',
     classes: CLASS_MIX,
--- a/packages/core/bench/overload.ts
+++ b/packages/core/bench/overload.ts
@@ -39,11 +39,11 @@
     name,
     `3 to ${2 * longestDelayMs}`,
     isProtected ? 'yes' : 'no',
-    ...renderFigures(figures),
+    ...renderFigures(name, figures),
   ];
 }
 
-function renderFigures(figures: LoopFigures): readonly string[] {
+function renderFigures(name: Name, figures: LoopFigures): readonly string[] {
   const recovery = Number.isFinite(figures.recoveryMs)
     ? (figures.recoveryMs / 1000).toFixed(2)
     : 'never';
@@ -53,7 +53,7 @@
     recovery,
     Math.min(...figures.servedByWorkspace).toFixed(3),
     Math.min(...figures.servedByWorkspace.slice(1)).toFixed(3),
-    figures.servedByClass[0].toFixed(3),
+    SURGES[name].classes[0] === 0 ? '-' : figures.servedByClass[0].toFixed(3),
     figures.arrivals.toFixed(2),
   ];
 }
--- a/packages/core/src/process/admission/LevelEstimate.ts
+++ b/packages/core/src/process/admission/LevelEstimate.ts
@@ -11,6 +11,10 @@
 /** Callers may send this multiple of the capacity, so that the queue never runs dry. */
 const HEADROOM = 1.15;
 
+/** Refusals below this number or part of the arrivals of a window are no overload. */
+const FEW_REFUSALS = 2;
+const FEW_REFUSALS_PART = 0.05;
+
 /** Lowest class number. */
 const LOWEST_CLASS = 3;
 
@@ -66,6 +70,8 @@
 
   #refusals = 0;
 
+  #arrivals = 0;
+
   /** The queue was long all the time since the window began; a short burst is no overload. */
   #isCrowded = true;
 
@@ -80,6 +86,7 @@
    */
   recordArrival(item: AdmissionItem, nowMs: number): void {
     this.#windowStartMs ??= nowMs;
+    this.#arrivals += 1;
     const rate = this.#resolveRate(item.workspace);
     rate.weight = item.weight;
     rate.arrived[Math.min(LOWEST_CLASS, item.priority)] += item.cost;
@@ -115,12 +122,14 @@
       return;
     }
     this.#closeWindow((nowMs - this.#windowStartMs) / WINDOW_MS);
-    if (this.#refusals > 0 || this.#isCrowded) {
+    const few = Math.max(FEW_REFUSALS, FEW_REFUSALS_PART * this.#arrivals);
+    if (this.#refusals >= few || this.#isCrowded) {
       this.#lower();
     } else {
       this.#raise();
     }
     this.#refusals = 0;
+    this.#arrivals = 0;
     this.#isCrowded = true;
     this.#windowStartMs = nowMs;
   }
--- a/packages/core/test/process/pressure/closedLoop.test.ts
+++ b/packages/core/test/process/pressure/closedLoop.test.ts
@@ -20,6 +20,11 @@
 describe('closed loop of callers, pressure table and admission queue', function closedLoop() {
   this.timeout(60_000);
 
+  it('guards against requests that are refused without overload', () => {
+    const figures = measure('none', true, 15);
+    expect(Math.min(...figures.servedByWorkspace)).to.be.at.least(0.99);
+  });
+
   it('guards against a scenario so easy that plain retries without limits survive it', () => {
     const figures = measure('triple', false, 15);
     expect(figures.goodput).to.be.lessThan(0.3);
@@ -30,6 +35,7 @@
     it(`guards against lost goodput and late recovery at 3 times the capacity, ${2 * delayMs} ms of feedback`, () => {
       const figures = measure('triple', true, delayMs);
       expect(figures.goodput).to.be.at.least(0.9);
+      expect(figures.lowestGoodput, 'oscillation').to.be.at.least(0.85);
       expect(figures.recoveryMs).to.be.at.most(5000);
       expect(figures.servedByClass[0]).to.be.at.least(0.99);
       expect(figures.arrivals).to.be.at.most(2);
