Weigh a higher level more than a lower one in the pressure table

Cause: the VMs of a service send their own levels, and the table kept their plain mean, so that just after an answer of one overloaded VM of four, calls were shed that the other three would run. A rise weighs 0.5 and a fall 0.15 now. The new test fails with 0.3 for both.

--- a/packages/core/src/process/pressure/PressureTable.ts
+++ b/packages/core/src/process/pressure/PressureTable.ts
@@ -26,8 +26,12 @@
 /** Smallest level, so that some calls of class 0 always probe the service. */
 const PROBE_LEVEL = 0.01;
 
-/** Weight of a new level; the VMs of a service send their own levels, and the table keeps their mean. */
-const RECORD_WEIGHT = 0.3;
+/**
+ * Weights of a new level that is higher or lower. The VMs of a service send their own levels: while only some are
+ * overloaded, the router and retries use the others, so that early shedding must not follow the worst VM.
+ */
+const RISE_WEIGHT = 0.5;
+const FALL_WEIGHT = 0.15;
 
 /** Without news for this long, a level begins to rise, so that probes find the recovery. */
 const SILENCE_MS = 1000;
@@ -192,5 +196,6 @@
 }
 
 function approach(level: number, target: number): number {
-  return level + RECORD_WEIGHT * (target - level);
+  const weight = target > level ? RISE_WEIGHT : FALL_WEIGHT;
+  return level + weight * (target - level);
 }
--- a/packages/core/test/process/pressure/PressureTable.test.ts
+++ b/packages/core/test/process/pressure/PressureTable.test.ts
@@ -45,6 +45,17 @@
     expect(table.list(40)[0].workspaces?.[0]).to.deep.include({ workspace: 'loud' });
   });
 
+  it('guards against one overloaded VM that makes callers shed what the others would run', () => {
+    const table = createTable();
+    Array.from({ length: 200 }).forEach((_, index) => {
+      const level =
+        index % 4 === 3 ? { lowestClass: 1, fraction: 0.5 } : { lowestClass: 3, fraction: 1 };
+      table.record([{ service: SERVICE, ...level }], index);
+    });
+    expect(measureAdmitted(table, 2, 200)).to.equal(1);
+    expect(measureAdmitted(table, 3, 200)).to.be.at.least(0.5);
+  });
+
   it('guards against a level that stays for ever when no call is left to bring news', () => {
     const table = createTable();
     recordOften(table, { lowestClass: 0, fraction: 0 });
