Keep preemption possible while a cancelled call runs on

Cause: a cancelled call that may not be repeated keeps running, but was counted as a slot that is free soon, so that waiting calls did not preempt. Only repeatable calls count now. Adds a test of the bound on preemptions.

--- a/packages/core/src/process/admission/RunningCalls.ts
+++ b/packages/core/src/process/admission/RunningCalls.ts
@@ -57,14 +57,14 @@
   }
 
   /**
-   * Marks a call as cancelled.
+   * Marks a call as cancelled. One that may not be repeated runs on, so that its slot is not free soon.
    * @param callId - The call.
    * @returns False if it does not run.
    */
   markEnding(callId: string): boolean {
     const call = this.#calls.get(callId);
     if (call !== undefined) {
-      call.ending = true;
+      call.ending = call.item.repeatable;
     }
     return call !== undefined;
   }
--- a/packages/core/src/process/suspects/SuspectTable.ts
+++ b/packages/core/src/process/suspects/SuspectTable.ts
@@ -23,7 +23,8 @@
 
 /**
  * Remembers which requests ran on a backend server when it died. A fingerprint is a suspect after the first crash and
- * blocked after the second.
+ * blocked after the second. One poison request takes at most as many VMs as attempts of it begin before its second
+ * crash is known where they run: 2 if every report arrives before the next attempt.
  */
 export class SuspectTable {
   readonly #blockMs: number;
--- a/packages/core/test/process/admission/AdmissionQueue.test.ts
+++ b/packages/core/test/process/admission/AdmissionQueue.test.ts
@@ -83,6 +83,28 @@
     expect(show(queue.finish('young', 'cancelled', 52))).to.deep.equal(['run booking']);
   });
 
+  it('guards against a cancelled booking that runs on and keeps others from preempting', () => {
+    const queue = createQueue(16, 10);
+    queue.offer(createItem('first', { priority: 0, repeatable: false }), 0);
+    queue.offer(createItem('photo', { priority: 3 }), 0);
+    expect(queue.cancel('first', 1)).to.equal('running');
+    queue.offer(createItem('second', { priority: 0, arrivedMs: 2 }), 2);
+    expect(show(queue.advance(50))).to.deep.equal(['preempt photo']);
+  });
+
+  it('guards against unbounded preemption of running work', () => {
+    const queue = createQueue(40, 100);
+    for (let call = 0; call < 5; call++) {
+      queue.offer(createItem(`photo${call}`, { priority: 3 }), 0);
+    }
+    const preempted: string[] = [];
+    for (let call = 0; call < 60; call++) {
+      queue.offer(createItem(`booking${call}`, { priority: 0, arrivedMs: 0 }), 30);
+      preempted.push(...show(queue.advance(30)).filter((line) => line.startsWith('preempt')));
+    }
+    expect(preempted.length).to.be.at.most(4);
+  });
+
   it('guards against a suspect that runs beside other calls', () => {
     const queue = createQueue(80, 10);
     queue.offer(createItem('innocent'), 0);
