Send the frames of one turn in one message of the link

A call with small bodies took four messages of the stream: the call, its chunk, the answer and its chunk. They now travel as two Batch messages. A frame of an unknown kind is now dropped and counted instead of ending the stream, so that nodes of two versions can talk. An answer to HEAD no longer claims a length of 0.

--- a/packages/node/src/connection/LinkStream.ts
+++ b/packages/node/src/connection/LinkStream.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf';
-import { decodeFrame, encodeFrame, FrameSchema } from '@tanagerpond/wire';
+import { decodeBatch, encodeFrame, FrameSchema, joinFrames } from '@tanagerpond/wire';
 import type { Frame } from '@tanagerpond/wire';
 import type { Counters } from '../process/metrics/index.js';
 
@@ -7,7 +7,7 @@
 export type LinkEnd =
   'ended' | 'broken' | 'silent' | 'protocol' | 'replaced' | 'idle' | 'helloTimeout' | 'stopped';
 
-/** The part of a grpc-js stream that a link uses; one message is one encoded frame. */
+/** The part of a grpc-js stream that a link uses; one message is one encoded batch of frames. */
 export interface FrameStream {
   write(bytes: Buffer, done?: () => void): unknown;
   end(): unknown;
@@ -17,7 +17,7 @@
 
 /** Options of one stream; `now` gives monotonic milliseconds. */
 export interface LinkStreamOptions {
-  /** Stream of encoded frames. */
+  /** Stream of encoded batches. */
   readonly stream: FrameStream;
   /** Ends the stream at once. */
   readonly abort: () => void;
@@ -38,6 +38,12 @@
 /** A longer gap between two checks means that this process was paused and the peer may have sent meanwhile. */
 const PAUSE_MS = 1_500;
 
+/**
+ * Written bytes that are sent at once instead of at the end of the turn. A body chunk has this size, so that chunks are
+ * handed to the transport one by one.
+ */
+const BATCH_BYTES = 16 * 1024;
+
 /** Frames of one stream: codec, pings and detection of silence. Ends exactly once. */
 export class LinkStream {
   readonly #options: LinkStreamOptions;
@@ -52,6 +58,13 @@
 
   #end: LinkEnd | undefined;
 
+  /** Encoded frames of this turn, and what to call when the transport took them. */
+  #written: Uint8Array[] = [];
+
+  #writtenBytes = 0;
+
+  #done: (() => void)[] = [];
+
   /** @param options - Stream and where its frames go. */
   constructor(options: LinkStreamOptions) {
     this.#options = options;
@@ -71,7 +84,7 @@
   }
 
   /**
-   * Writes a frame.
+   * Writes a frame. The frames of one turn of the event loop travel in one message.
    * @param frame - Frame to send; dropped when the stream has ended.
    * @param done - Called when the transport took the frame.
    */
@@ -79,7 +92,18 @@
     if (this.#end !== undefined) {
       return;
     }
-    this.#options.stream.write(encodeFrame(frame), done);
+    if (this.#written.length === 0) {
+      process.nextTick(() => this.#flush());
+    }
+    const bytes = encodeFrame(frame);
+    this.#written.push(bytes);
+    this.#writtenBytes += bytes.length;
+    if (done !== undefined) {
+      this.#done.push(done);
+    }
+    if (this.#writtenBytes >= BATCH_BYTES) {
+      this.#flush();
+    }
   }
 
   /**
@@ -113,6 +137,7 @@
     if (this.#end !== undefined) {
       return;
     }
+    this.#flush();
     this.#end = end;
     this.#options.counters.count(`link_end_${end}`);
     if (end === 'idle' || end === 'stopped' || end === 'ended') {
@@ -123,21 +148,41 @@
     this.#options.onClose(end);
   }
 
+  #flush(): void {
+    if (this.#written.length === 0) {
+      return;
+    }
+    const bytes = joinFrames(this.#written);
+    const done = this.#done;
+    this.#written = [];
+    this.#writtenBytes = 0;
+    this.#done = [];
+    this.#options.stream.write(bytes, () => done.forEach((callback) => callback()));
+  }
+
   #receive(bytes: Buffer): void {
     if (this.#end !== undefined) {
       return;
     }
     this.#heardMs = this.#options.now();
-    const decoded = decodeFrame(bytes);
+    const decoded = decodeBatch(bytes);
     if (decoded.isErr) {
       this.#options.counters.count(`link_frame_${decoded.error.fault}`);
       this.close('protocol');
       return;
     }
-    this.#dispatch(decoded.value);
+    decoded.value.forEach((frame) => this.#dispatch(frame));
   }
 
   #dispatch(frame: Frame): void {
+    if (this.#end !== undefined) {
+      return;
+    }
+    if (frame.body.case === undefined) {
+      // A newer node may send kinds of frames that this version does not know.
+      this.#options.counters.count('link_frame_unknown');
+      return;
+    }
     if (frame.body.case === 'ping') {
       const { sequence } = frame.body.value;
       this.write(buildFrame({ case: 'pong', value: { sequence } }));
--- a/packages/node/src/connection/linkService.ts
+++ b/packages/node/src/connection/linkService.ts
@@ -1,5 +1,5 @@
 import type { ServiceDefinition } from '@grpc/grpc-js';
-import { MAX_FRAME_BYTES } from '@tanagerpond/wire';
+import { MAX_BATCH_BYTES } from '@tanagerpond/wire';
 
 /** Full name of the one method of the peer link. */
 export const LINK_PATH = '/tanagerpond.link.v1.Link/Connect';
@@ -25,8 +25,8 @@
 
 /** Options of both ends of a link. */
 export const LINK_CHANNEL_OPTIONS = {
-  'grpc.max_receive_message_length': MAX_FRAME_BYTES,
-  'grpc.max_send_message_length': MAX_FRAME_BYTES,
+  'grpc.max_receive_message_length': MAX_BATCH_BYTES,
+  'grpc.max_send_message_length': MAX_BATCH_BYTES,
   'grpc-node.flow_control_window': FLOW_CONTROL_WINDOW_BYTES,
   // A link that fails is replaced by the decisions; the library must not repeat a request on its own.
   'grpc.enable_retries': 0,
--- a/packages/node/src/request/writeAnswer.ts
+++ b/packages/node/src/request/writeAnswer.ts
@@ -13,7 +13,8 @@
   if (last) {
     headers.push('connection', 'close');
   }
-  if (answer.status !== 204 && answer.status !== 304) {
+  // The length in an answer to HEAD would be the one of the answer to GET, which is not known here.
+  if (answer.status !== 204 && answer.status !== 304 && outgoing.req.method !== 'HEAD') {
     headers.push('content-length', String(answer.body.length));
   }
   outgoing.writeHead(answer.status, headers);
--- a/packages/wire/src/FrameError.ts
+++ b/packages/wire/src/FrameError.ts
@@ -1,7 +1,7 @@
-/** Why bytes of a peer are not a frame. */
-export type FrameFault = 'empty' | 'tooLarge' | 'malformed' | 'unknownBody';
+/** Why bytes of a peer are not frames. */
+export type FrameFault = 'empty' | 'tooLarge' | 'malformed';
 
-/** Bytes of a peer that are not a frame of the schema. */
+/** A message of a peer that does not carry frames of the schema. */
 export class FrameError extends Error {
   /**
    * @param fault - What is wrong.
@@ -11,7 +11,7 @@
     readonly fault: FrameFault,
     readonly size: number,
   ) {
-    super(`frame of ${size} bytes is not valid: ${fault}`);
+    super(`link message of ${size} bytes is not valid: ${fault}`);
     this.name = 'FrameError';
   }
 }
