Answer a request whose answer has a header that HTTP forbids

Writing the header throws, and the caller would have waited for its own time limit. It now gets 502 with the outcome unknown. The event loop delay is sampled every 100 ms instead of 10 ms, and bench:path subtracts the processor time of the idle nodes.

--- a/packages/node/bench/benchPath.ts
+++ b/packages/node/bench/benchPath.ts
@@ -12,6 +12,9 @@
 /** Time limit until the first call through the nodes is answered, in milliseconds. */
 const READY_LIMIT_MS = 30_000;
 
+/** Time without calls in which the processor time of the idle nodes is read, in milliseconds. */
+const IDLE_MS = 5_000;
+
 const PERCENTILES = [50, 90, 99];
 
 /** Target of the design page for 99 in 100 calls, in milliseconds. */
@@ -29,6 +32,10 @@
 
 await waitReady();
 await measureCalls([direct, through], { rate: RATE, durationMs: WARM_UP_MS });
+const idle = await readCpu();
+await new Promise((resolve) => {
+  setTimeout(resolve, IDLE_MS);
+});
 const before = await readCpu();
 const [directResult, throughResult] = await measureCalls([direct, through], {
   rate: RATE,
@@ -67,8 +74,11 @@
     `target: ${TARGET_MS} added for 99 in 100 calls`,
     `failures: direct ${directTimes.failures}, two nodes ${throughTimes.failures}`,
     ...(['entry', 'exit'] as const).map((node) => {
-      const cpuMs = (after[node] - before[node]) / calls;
-      return `CPU per call, ${node} node: ${cpuMs.toFixed(3)} ms (idle work included)`;
+      const idlePart = (before[node] - idle[node]) / IDLE_MS;
+      const idleMs = idlePart * DURATION_MS;
+      const cpuMs = (after[node] - before[node] - idleMs) / calls;
+      const percent = (idlePart * 100).toFixed(2);
+      return `CPU of the ${node} node: ${cpuMs.toFixed(3)} ms a call, ${percent}% of a core when idle`;
     }),
   ];
   process.stdout.write(`${lines.join('\n')}\n`);
--- a/packages/node/src/process/admin/MetricsPage.ts
+++ b/packages/node/src/process/admin/MetricsPage.ts
@@ -11,6 +11,11 @@
 
 const PREFIX = 'tanagerpond_';
 
+/**
+ * Precision of the event loop delay, in milliseconds. The library's 10 ms wake an idle process 100 times a second.
+ */
+const LAG_PRECISION_MS = 100;
+
 const PERCENTILES = [50, 90, 99, 99.9];
 
 /** The metrics of the process as Prometheus text. */
@@ -40,7 +45,11 @@
   /** @param sources - Where the values come from. */
   constructor(sources: MetricsSources) {
     this.#sources = sources;
-    collectDefaultMetrics({ register: this.#registry, prefix: PREFIX });
+    collectDefaultMetrics({
+      register: this.#registry,
+      prefix: PREFIX,
+      eventLoopMonitoringPrecision: LAG_PRECISION_MS,
+    });
   }
 
   /** Renders the present values. */
--- a/packages/node/src/request/writeAnswer.ts
+++ b/packages/node/src/request/writeAnswer.ts
@@ -1,5 +1,7 @@
 import { STATUS_CODES } from 'node:http';
 import type { ServerResponse } from 'node:http';
+import { request } from '@tanagerpond/core';
+import { buildRefusalAnswer } from './buildRefusalAnswer.js';
 import type { PlainAnswer } from './buildRefusalAnswer.js';
 
 /**
@@ -17,8 +19,13 @@
   if (answer.status !== 204 && answer.status !== 304 && outgoing.req.method !== 'HEAD') {
     headers.push('content-length', String(answer.body.length));
   }
-  outgoing.writeHead(answer.status, headers);
-  outgoing.end(answer.body);
+  try {
+    outgoing.writeHead(answer.status, headers);
+    outgoing.end(answer.body);
+  } catch {
+    // A header that HTTP does not allow must not leave the request without any answer.
+    writeBadHeader(outgoing);
+  }
 }
 
 /**
@@ -34,3 +41,11 @@
   ];
   return `${lines.join('\r\n')}\r\n\r\n${body.toString()}`;
 }
+
+function writeBadHeader(outgoing: ServerResponse): void {
+  const refusal = request.createRefusal('backendFailed', { detail: 'header of the answer' });
+  const { status, headers, body } = buildRefusalAnswer(refusal);
+  const last = ['connection', 'close', 'content-length', String(body.length)];
+  outgoing.writeHead(status, [...headers.flat(), ...last]);
+  outgoing.end(body);
+}
--- a/packages/node/test/request/RequestListener.test.ts
+++ b/packages/node/test/request/RequestListener.test.ts
@@ -221,6 +221,17 @@
     });
   });
 
+  it('guards against an answer with a header that HTTP forbids and a caller that waits for ever', async () => {
+    reply = ({ request: { requestId } }) => {
+      const body = store.take('') ?? expect.fail();
+      listener.answer(requestId, { status: 200, headers: [['x', 'a\nb']] }, body);
+    };
+    const answer = await request(origin);
+    expect(answer.statusCode).to.equal(502);
+    expect(answer.headers).to.include({ 'tanagerpond-outcome': 'unknown' });
+    expect(await answer.body.json()).to.include({ reason: 'backendFailed' });
+  });
+
   it('guards against the call token of a backend server that travels on as a header', async () => {
     await listener[Symbol.asyncDispose]();
     await start('egress');
