--- a/packages/scenario/src/process/experiment/BaselineFleet.ts
+++ b/packages/scenario/src/process/experiment/BaselineFleet.ts
@@ -9,6 +9,7 @@
   sendControl,
   type BackendTuning,
   type Deployment,
+  waitAll,
 } from '../fleet/index.js';
 
 interface StartedBackend {
@@ -49,7 +50,7 @@
   async start(): Promise<void> {
     this.#folder = await fs.mkdtemp(path.join(os.tmpdir(), 'tanagerpond-baseline-'));
     const address = await this.runs.open();
-    this.#backends = await Promise.all(
+    this.#backends = await waitAll(
       this.#deployment.vms.map(async (vm, index) => {
         const options = buildBackendOptions(this.#deployment, vm, {
           ...this.#tuning,
@@ -102,7 +103,7 @@
           .map((backend) => backend.address),
       ]),
     );
-    this.#entries = await Promise.all(
+    this.#entries = await waitAll(
       this.#backends.map(async (backend, index) => {
         const name = `forwarder ${index}`;
         const options = { backends: addresses, seed: index + 1, retries: this.#retries };
--- a/packages/scenario/src/process/fleet/Fleet.ts
+++ b/packages/scenario/src/process/fleet/Fleet.ts
@@ -7,6 +7,7 @@
 import { LinkTable } from './LinkTable.js';
 import type { ManagedProcess } from './ManagedProcess.js';
 import { Platform } from './Platform.js';
+import { waitAll } from './waitAll.js';
 import { VirtualMachine } from './VirtualMachine.js';
 
 export interface FleetOptions {
@@ -64,7 +65,7 @@
     const collectorAddress = await this.runs.open();
     this.#platform = await Platform.start();
     await this.publishBundle();
-    await Promise.all(
+    await waitAll(
       this.deployment.vms.map(async (plan, index) => {
         const vm = new VirtualMachine(plan, {
           folder: this.#folder,
--- a/packages/scenario/src/process/fleet/ManagedProcess.ts
+++ b/packages/scenario/src/process/fleet/ManagedProcess.ts
@@ -10,6 +10,11 @@
 /** Lines kept for an error report. */
 const KEPT_LINES = 40;
 
+/** Processes that are still to be ended when this process ends without disposing of them. */
+const running = new Set<childProcess.ChildProcess>();
+
+process.once('exit', () => running.forEach((child) => child.kill('SIGKILL')));
+
 /** A process of the project that prints one JSON line with its addresses when it is ready. */
 export class ManagedProcess {
   readonly name: string;
@@ -35,7 +40,9 @@
     this.#child = childProcess.spawn(process.execPath, [file, ...parameters], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
+    running.add(this.#child);
     this.#ended = once(this.#child, 'exit').then(([code]) => {
+      running.delete(this.#child);
       this.#exitCode = code as number | null;
     });
     this.#ready = this.#watchOutput();
--- a/packages/scenario/src/process/fleet/index.ts
+++ b/packages/scenario/src/process/fleet/index.ts
@@ -8,3 +8,4 @@
 export * from './scripts.js';
 export * from './sendControl.js';
 export * from './VirtualMachine.js';
+export * from './waitAll.js';
--- a/packages/scenario/src/process/run/ScenarioRunner.ts
+++ b/packages/scenario/src/process/run/ScenarioRunner.ts
@@ -59,6 +59,7 @@
   /** Ends waits and loads; `run` then fails or returns soon. */
   stop(): void {
     this.#abort.abort();
+    this.#state?.loads.forEach((load) => load.stop());
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
