Ask the holders that probably have tokens

A spender rotated over the holders in rounds and asked each again every 40 ms, so one node with all demand at 0.95 of the rates spent 13.6 KB/s, and uneven levels cost a small burst up to two tokens. Grants now tell what is left with the holder; the spender asks the fullest first, spreads a request over two holders where bursts are small, and leaves an empty holder alone for 90 ms.

A first try looped at the speed of the link: a holder that could not lend told of its level, which attracted the next request.

--- /dev/null
+++ b/packages/core/bench/shares/HomeNodes.ts
@@ -0,0 +1,54 @@
+import * as membership from '../../src/process/membership/index.js';
+import type { TestRate } from '../../test/process/shares/createBundle.js';
+import { ReferenceBucket, WAIT_MS } from './ReferenceBucket.js';
+
+/**
+ * One home VM per workspace, chosen by rendezvous hashing, grants every token. A home that dies is replaced after the
+ * list shows it and its lease is over; a home behind a partition cannot be reached.
+ */
+export class HomeNodes {
+  readonly #buckets = new Map<string, ReferenceBucket>();
+
+  readonly #homes = new Map<string, { home: string; usableMs: number }>();
+
+  readonly #vms: readonly string[];
+
+  constructor(vms: readonly string[]) {
+    this.#vms = vms;
+  }
+
+  /**
+   * Moves the homes away from a VM.
+   * @param dead - VM that died.
+   * @param usableMs - Time from which the new homes grant.
+   */
+  replace(dead: string, usableMs: number): void {
+    this.#homes.forEach((entry, name) => {
+      if (entry.home === dead) {
+        const live = this.#vms.filter((vm) => vm !== dead);
+        this.#homes.set(name, { home: rankHome(name, live), usableMs });
+      }
+    });
+  }
+
+  decide(
+    vm: string,
+    { name, rate, burst }: TestRate,
+    nowMs: number,
+    canReach: (from: string, to: string) => boolean,
+  ): boolean {
+    const entry = this.#homes.get(name) ?? { home: rankHome(name, this.#vms), usableMs: 0 };
+    this.#homes.set(name, entry);
+    if (nowMs < entry.usableMs || !canReach(vm, entry.home)) {
+      return false;
+    }
+    const key = `${entry.home}/${name}`;
+    const bucket = this.#buckets.get(key) ?? new ReferenceBucket(rate, burst);
+    this.#buckets.set(key, bucket);
+    return bucket.tryConsume(nowMs, WAIT_MS);
+  }
+}
+
+function rankHome(name: string, vms: readonly string[]): string {
+  return membership.listByRendezvous(name, vms)[0] ?? '';
+}
--- /dev/null
+++ b/packages/core/bench/shares/StaticShares.ts
@@ -0,0 +1,21 @@
+import type { TestRate } from '../../test/process/shares/createBundle.js';
+import { ReferenceBucket, WAIT_MS } from './ReferenceBucket.js';
+
+/** Every VM has a fixed 1/M of every rate and burst. */
+export class StaticShares {
+  readonly #buckets = new Map<string, ReferenceBucket>();
+
+  readonly #maxVms: number;
+
+  constructor(maxVms: number) {
+    this.#maxVms = maxVms;
+  }
+
+  decide(vm: string, { name, rate, burst }: TestRate, nowMs: number): boolean {
+    const key = `${vm}/${name}`;
+    const bucket =
+      this.#buckets.get(key) ?? new ReferenceBucket(rate / this.#maxVms, burst / this.#maxVms);
+    this.#buckets.set(key, bucket);
+    return bucket.tryConsume(nowMs, WAIT_MS);
+  }
+}
--- a/packages/core/src/process/shares/ShareLedger.ts
+++ b/packages/core/src/process/shares/ShareLedger.ts
@@ -283,7 +283,7 @@
       return [];
     }
     return this.#borrower.request(
-      this.#queue.demands.values(),
+      this.#queue.demands,
       this.#ranking.listOtherHolders(),
       (name) => this.#pool.readLevel(name, nowMs),
       nowMs,
--- a/packages/core/src/process/shares/SubleaseTable.ts
+++ b/packages/core/src/process/shares/SubleaseTable.ts
@@ -1,6 +1,6 @@
 import * as protobuf from '@bufbuild/protobuf';
 import * as wire from '@tanagerpond/wire';
-import { computeLenderMs } from './shareLimits.js';
+import { computeLenderMs, ROUNDING } from './shareLimits.js';
 import type { TokenPool } from './TokenPool.js';
 
 interface Sublease {
@@ -55,20 +55,25 @@
       return undefined;
     }
     const expiresMs = nowMs + computeLenderMs(leaseMs);
-    const parts = request.wanted.flatMap(({ workspace, level }) => {
-      const lent = this.#pool.lend(workspace, level, expiresMs, nowMs);
-      return lent === undefined ? [] : [{ workspace, ...lent, refill: 0 }];
-    });
-    if (parts.length > 0) {
-      const byWorkspace = new Map<string, number>();
-      parts.forEach(({ workspace, capacity }) =>
-        byWorkspace.set(workspace, (byWorkspace.get(workspace) ?? 0) + capacity),
-      );
+    const byWorkspace = new Map<string, number>();
+    const parts = request.wanted
+      .filter(({ workspace }) => !byWorkspace.has(workspace))
+      .map(({ workspace, level: wanted }) => {
+        const lent = this.#pool.lend(workspace, wanted, expiresMs, nowMs);
+        if (lent === undefined) {
+          return { workspace };
+        }
+        byWorkspace.set(workspace, lent.capacity);
+        // Tokens that cannot be lent at present must not attract another request.
+        const isWhole = lent.level + ROUNDING >= wanted;
+        const left = isWhole ? this.#pool.readLevel(workspace, nowMs) : 0;
+        return { workspace, ...lent, left };
+      });
+    if (byWorkspace.size > 0) {
       this.#subleases.set(key, { expiresMs, parts: byWorkspace });
     }
     return protobuf.create(wire.ShareGrantSchema, {
       requestId: request.requestId,
-      leaseId: request.requestId,
       leaseMs,
       parts,
     });
--- a/packages/core/src/process/shares/TokenAsks.ts
+++ b/packages/core/src/process/shares/TokenAsks.ts
@@ -1,9 +1,11 @@
 /** A holder that has not answered after this time counts as silent. One tick fits into the wait of a request. */
 const ANSWER_MS = 45;
 
-/** A silent holder is asked again after this time. */
+/** A silent holder is asked again after this time, which doubles as long as it stays silent. */
 const SILENCE_MS = 1_000;
 
+const MAX_SILENCE_MS = 8_000;
+
 /** One request for tokens to one holder. */
 interface Ask {
   readonly holder: string;
@@ -19,7 +21,9 @@
 
   readonly #expected = new Map<string, number>();
 
-  readonly #silentUntilMs = new Map<string, number>();
+  readonly #silences = new Map<string, { untilMs: number; lengthMs: number }>();
+
+  #nowMs = Number.NEGATIVE_INFINITY;
 
   /**
    * Records a request that is being sent.
@@ -45,7 +49,7 @@
       return undefined;
     }
     this.#asks.delete(id);
-    this.#silentUntilMs.delete(holder);
+    this.#silences.delete(holder);
     this.#clearExpected(ask);
     return ask.sentMs;
   }
@@ -60,17 +64,18 @@
       if (!ask.overdue && nowMs - ask.sentMs >= ANSWER_MS) {
         this.#clearExpected(ask);
         Object.assign(ask, { overdue: true });
-        this.#silentUntilMs.set(ask.holder, nowMs + SILENCE_MS);
+        this.#recordSilence(ask.holder, nowMs);
       }
       if (nowMs - ask.sentMs >= leaseMs) {
         this.#asks.delete(id);
       }
     });
-    this.#silentUntilMs.forEach((untilMs, holder) => {
-      if (untilMs <= nowMs) {
-        this.#silentUntilMs.delete(holder);
+    this.#silences.forEach((silence, holder) => {
+      if (silence.untilMs + MAX_SILENCE_MS <= nowMs) {
+        this.#silences.delete(holder);
       }
     });
+    this.#nowMs = nowMs;
   }
 
   /**
@@ -86,7 +91,7 @@
    * @param holder - Name of the VM.
    */
   isSilent(holder: string): boolean {
-    return this.#silentUntilMs.has(holder);
+    return (this.#silences.get(holder)?.untilMs ?? Number.NEGATIVE_INFINITY) > this.#nowMs;
   }
 
   /** Counts the requests under way. */
@@ -98,7 +103,16 @@
   clear(): void {
     this.#asks.clear();
     this.#expected.clear();
-    this.#silentUntilMs.clear();
+    this.#silences.clear();
+  }
+
+  #recordSilence(holder: string, nowMs: number): void {
+    const known = this.#silences.get(holder);
+    if (known !== undefined && known.untilMs > nowMs) {
+      return;
+    }
+    const lengthMs = Math.min(MAX_SILENCE_MS, 2 * (known?.lengthMs ?? SILENCE_MS / 2));
+    this.#silences.set(holder, { untilMs: nowMs + lengthMs, lengthMs });
   }
 
   #clearExpected(ask: Ask): void {
--- a/packages/core/src/process/shares/TokenBorrower.ts
+++ b/packages/core/src/process/shares/TokenBorrower.ts
@@ -1,5 +1,7 @@
 import * as protobuf from '@bufbuild/protobuf';
+import type { Workspace } from '@tanagerpond/bundle';
 import * as wire from '@tanagerpond/wire';
+import { HolderLevels } from './HolderLevels.js';
 import type { LeaseIds } from './LeaseIds.js';
 import type { ShareCommand } from './ShareCommand.js';
 import { createFrame } from './ShareFrame.js';
@@ -12,17 +14,19 @@
 
 const EARLY_RETURN_OF_LEASE = 0.25;
 
-/** A workspace asks every holder at most once in a round; rounds follow the ticks. */
-const ROUND_MS = 40;
+/** A holder with less than the refill of this time is not worth a message. */
+const QUANTUM_MS = 90;
 
-/** After rounds without any token the waits double up to this time. */
-const MAX_ROUND_MS = 320;
+/**
+ * Where the holders have at most this many tokens each, a request is spread over two holders: a full holder cannot use
+ * its refill, so uneven levels cost more of a small burst.
+ */
+const SMALL_CAPACITY = 4;
 
-interface Round {
-  startedMs: number;
-  asked: number;
-  empty: number;
-}
+const PIECES = 2;
+
+/** Tokens; smaller pieces are not worth a message. */
+const MIN_PIECE = 0.25;
 
 interface Message {
   readonly wanted: Map<string, number>;
@@ -35,7 +39,7 @@
 
   readonly #asks = new TokenAsks();
 
-  readonly #rounds = new Map<string, Round>();
+  readonly #levels = new HolderLevels();
 
   #cursor: number;
 
@@ -74,17 +78,19 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   request(
-    demands: Iterable<WorkspaceDemand>,
+    demands: ReadonlyMap<string, WorkspaceDemand>,
     holders: readonly string[],
     readLocal: (workspace: string) => number,
     nowMs: number,
   ): readonly ShareCommand[] {
     const answering = holders.filter((holder) => !this.#asks.isSilent(holder));
+    this.#levels.retain(demands, holders);
     const messages = new Map<string, Message>();
-    [...demands].forEach((demand) => {
+    demands.forEach((demand) => {
       const local = readLocal(demand.workspace.name);
       this.#collect(demand, local, answering, messages, nowMs);
     });
+    this.#cursor += messages.size;
     return [...messages].map(([holder, message]) => this.#send(holder, message, nowMs));
   }
 
@@ -106,17 +112,17 @@
     if (sentMs === undefined || sentMs + grant.leaseMs <= nowMs) {
       return [];
     }
-    return grant.parts.flatMap(({ workspace, capacity, level }) => {
+    return grant.parts.flatMap(({ workspace, capacity, level, left: remaining }) => {
       const demand = demands.get(workspace);
-      if (demand === undefined) {
+      this.#levels.recordLeft(workspace, holder, remaining, nowMs);
+      if (demand === undefined || level <= ROUNDING) {
         return [];
       }
       const capped = Math.min(level, capacity * demand.workspace.burst);
-      const { leaseId } = grant;
+      const leaseId = grant.leaseId || grant.requestId;
       const expiresMs = sentMs + grant.leaseMs;
       demand.parts.push({ holder, leaseId, capacity, level: capped, expiresMs });
       demand.parts.sort((left, right) => left.expiresMs - right.expiresMs);
-      Object.assign(this.#rounds.get(workspace) ?? {}, { empty: 0 });
       return [workspace];
     });
   }
@@ -145,7 +151,7 @@
   /** Forgets every request under way. */
   clear(): void {
     this.#asks.clear();
-    this.#rounds.clear();
+    this.#levels.clear();
   }
 
   /** Counts the requests under way. */
@@ -160,34 +166,43 @@
     messages: Map<string, Message>,
     nowMs: number,
   ): void {
-    const { name, burst } = demand.workspace;
-    let missing = computeMissing(demand, local) - this.#asks.countExpected(name);
+    const { workspace } = demand;
+    let missing = computeMissing(demand, local) - this.#asks.countExpected(workspace.name);
     if (missing <= ROUNDING || holders.length === 0) {
       return;
     }
-    const round = this.#findRound(name, nowMs);
-    const mean = burst / holders.length;
-    const wanted = Math.max(Math.min(missing, 1), Math.min(missing, mean / 2));
-    while (missing > ROUNDING && round.asked < holders.length) {
-      const holder = holders[this.#cursor % holders.length] ?? '';
-      this.#cursor = (this.#cursor + 1) % holders.length;
-      round.asked += 1;
+    const piece = computePiece(workspace, missing, holders.length);
+    const quantum = (workspace.rate * QUANTUM_MS) / 1_000 / holders.length;
+    this.#listByLevel(workspace, holders, nowMs).forEach(({ holder, level }) => {
+      const isWorth = level + ROUNDING >= Math.min(missing, piece, Math.max(1, quantum));
+      const isUrgent = demand.waiting.size > 0 && this.#levels.mayRetry(workspace, holder, nowMs);
+      const isRecent = this.#levels.isRecent(workspace, holder, nowMs);
+      if (missing <= ROUNDING || isRecent || !(isWorth || isUrgent)) {
+        return;
+      }
+      const wanted = Math.min(missing, piece, Math.max(1, level));
       const message = messages.get(holder) ?? { wanted: new Map(), expected: new Map() };
-      message.wanted.set(name, wanted);
-      message.expected.set(name, Math.min(wanted, mean));
+      message.wanted.set(workspace.name, wanted);
+      message.expected.set(workspace.name, Math.min(wanted, level));
       messages.set(holder, message);
-      missing -= Math.min(wanted, mean);
-    }
+      this.#levels.recordAsk(workspace, holder, level - wanted, nowMs);
+      missing -= Math.min(wanted, level);
+    });
   }
 
-  #findRound(workspace: string, nowMs: number): Round {
-    const round = this.#rounds.get(workspace) ?? { startedMs: nowMs, asked: 0, empty: 0 };
-    const waitMs = Math.min(MAX_ROUND_MS, ROUND_MS * 2 ** Math.max(0, round.empty - 1));
-    if (nowMs - round.startedMs >= waitMs) {
-      Object.assign(round, { startedMs: nowMs, asked: 0, empty: round.empty + 1 });
-    }
-    this.#rounds.set(workspace, round);
-    return round;
+  /** Lists the holders, those with most tokens first; equal ones in an order that moves on with every request. */
+  #listByLevel(
+    workspace: Workspace,
+    holders: readonly string[],
+    nowMs: number,
+  ): readonly { holder: string; level: number }[] {
+    const first = this.#cursor % holders.length;
+    return [...holders.slice(first), ...holders.slice(0, first)]
+      .map((holder) => ({
+        holder,
+        level: this.#levels.read(workspace, holder, holders.length, nowMs),
+      }))
+      .sort((left, right) => right.level - left.level);
   }
 
   #send(holder: string, message: Message, nowMs: number): ShareCommand {
@@ -225,6 +240,11 @@
   return isLow ? demand.waiting.size + prefetch - tokens : 0;
 }
 
+function computePiece(workspace: Workspace, missing: number, holders: number): number {
+  const isSmall = workspace.burst / holders <= SMALL_CAPACITY;
+  return isSmall ? Math.max(MIN_PIECE, missing / Math.min(holders, PIECES)) : missing;
+}
+
 function createReturn(
   holder: string,
   leaseId: string,
--- a/packages/core/src/process/shares/isFiniteFrame.ts
+++ b/packages/core/src/process/shares/isFiniteFrame.ts
@@ -24,7 +24,9 @@
 }
 
 function hasAmounts(parts: readonly wire.SharePart[]): boolean {
-  return parts.every((part) => isAmount(part.capacity) && isAmount(part.level));
+  return parts.every(
+    (part) => isAmount(part.capacity) && isAmount(part.level) && isAmount(part.left),
+  );
 }
 
 function isAmount(value: number): boolean {
--- a/packages/core/test/process/shares/ShareFleet.ts
+++ b/packages/core/test/process/shares/ShareFleet.ts
@@ -6,6 +6,9 @@
 
 type SendCommand = Extract<shares.ShareCommand, { frame: unknown }>;
 
+/** Takes the decision on one request at the time of the event queue. */
+export type Decide = (outcome: 'granted' | 'denied') => void;
+
 /** Times in milliseconds after which copies of a message arrive; an empty list loses it. */
 export type Network = (from: string, to: string, frame: SendCommand['frame']) => readonly number[];
 
@@ -13,7 +16,6 @@
   readonly bundle: Bundle;
   readonly random: SeededRandom;
   readonly network: Network;
-  readonly onDecision: (workspace: string, outcome: 'granted' | 'denied', atMs: number) => void;
   /** Mutation: restarted nodes skip the wait. */
   readonly skipStartupWait?: boolean;
   /** Mutation: requests and frames see the time of the last tick instead of the clock. */
@@ -43,7 +45,7 @@
 
   readonly #options: FleetOptions;
 
-  readonly #workspaceByRequest = new Map<string, string>();
+  readonly #decideByRequest = new Map<string, Decide>();
 
   #requests = 0;
 
@@ -142,24 +144,24 @@
   }
 
   /** Sends a request for one token to a node. Returns false when the node is dead. */
-  request(name: string, workspace: string): boolean {
+  request(name: string, workspace: string, decide: Decide): boolean {
     const node = this.nodes.get(name);
     if (!node?.alive) {
       return false;
     }
-    this.#handle(node, this.events.nowMs, () => this.#request(node, workspace));
+    this.#handle(node, this.events.nowMs, () => this.#request(node, workspace, decide));
     return true;
   }
 
-  #request(node: FleetNode, workspace: string): void {
+  #request(node: FleetNode, workspace: string, decide: Decide): void {
     this.#requests += 1;
     const requestId = `${this.#requests}`;
     const outcome = node.ledger.request(workspace, requestId, this.#readClockForInput(node));
     if (outcome === 'granted') {
-      this.#options.onDecision(workspace, 'granted', this.events.nowMs);
+      decide('granted');
       return;
     }
-    this.#workspaceByRequest.set(requestId, workspace);
+    this.#decideByRequest.set(requestId, decide);
   }
 
   #scheduleTick(node: FleetNode, delayMs: number): void {
@@ -188,9 +190,9 @@
   #runCommands(node: FleetNode, commands: readonly shares.ShareCommand[]): void {
     commands.forEach((command) => {
       if (command.kind === 'granted' || command.kind === 'denied') {
-        const workspace = this.#workspaceByRequest.get(command.requestId) ?? '';
-        this.#workspaceByRequest.delete(command.requestId);
-        this.#options.onDecision(workspace, command.kind, this.events.nowMs);
+        const decide = this.#decideByRequest.get(command.requestId);
+        this.#decideByRequest.delete(command.requestId);
+        decide?.(command.kind);
         return;
       }
       this.#send(node, command);
--- a/packages/core/test/process/shares/runSchedule.ts
+++ b/packages/core/test/process/shares/runSchedule.ts
@@ -54,11 +54,6 @@
     random,
     bundle: createScheduleBundle(schedule, 1),
     network: (from, to) => pickDelays(schedule, random, isCut(groupOf, from, to)),
-    onDecision: (workspace, outcome, atMs) => {
-      if (outcome === 'granted') {
-        grants.get(workspace)?.push(atMs);
-      }
-    },
   });
   const vms = createVms(schedule);
   const startVm = (vm: membership.VmRecord): void => {
@@ -68,7 +63,7 @@
   };
   vms.forEach(startVm);
   scheduleFaults(schedule, random, fleet, vms, startVm, groupOf);
-  scheduleDemand(schedule, random, fleet, vms);
+  scheduleDemand(schedule, random, fleet, vms, grants);
   if (schedule.changesBundle) {
     fleet.events.schedule(schedule.lengthMs / 2, () =>
       fleet.adopt(createScheduleBundle(schedule, 2), () => random.pickBetween(0, 1_000)),
@@ -188,11 +183,19 @@
   random: SeededRandom,
   fleet: ShareFleet,
   vms: readonly membership.VmRecord[],
+  grants: ReadonlyMap<string, number[]>,
 ): void {
+  const request = (target: membership.VmRecord, workspace: string): void => {
+    fleet.request(target.name, workspace, (outcome) => {
+      if (outcome === 'granted') {
+        grants.get(workspace)?.push(fleet.events.nowMs);
+      }
+    });
+  };
   const flood = (targets: readonly membership.VmRecord[], untilMs: number): void => {
     const calls = Math.ceil(schedule.rate / FLOOD_EVENTS_PER_SECOND);
     for (let call = 0; call < calls; call++) {
-      fleet.request(random.pick(targets).name, random.pick(WORKSPACES));
+      request(random.pick(targets), random.pick(WORKSPACES));
     }
     if (fleet.events.nowMs < untilMs) {
       fleet.events.schedule(fleet.events.nowMs + random.pickBetween(5, 30), () =>
