Tell the calls of two runs of one attempt apart

A node may run a repeatable parent again; the calls of both runs had one attempt id, so that a refusal in the second run looked as if it hid the run of the first. A failed scenario now names such attempts.

--- a/packages/scenario/src/process/run/ScenarioRunner.ts
+++ b/packages/scenario/src/process/run/ScenarioRunner.ts
@@ -1,7 +1,12 @@
 import { time, type caller } from '@tanagerpond/testkit';
 import { Deployment, findDeploymentFolder, Fleet, type BackendTuning } from '../fleet/index.js';
 import { ScenarioError, type Action, type OfKind, type Statement } from '../language/index.js';
-import { describeAdmission, describeLoads, describeOutput } from './describeLoads.js';
+import {
+  describeAdmission,
+  describeFaults,
+  describeLoads,
+  describeOutput,
+} from './describeLoads.js';
 import { measureValue } from './measureValue.js';
 import { runStatement } from './runStatement.js';
 import type { ScenarioState } from './ScenarioState.js';
@@ -80,7 +85,9 @@
     } catch (error) {
       if (this.#state !== undefined) {
         const admission = await describeAdmission(this.#state);
-        [...describeLoads(this.#state), ...admission, ...describeOutput(this.#state)].forEach(log);
+        describeFaults(this.#state).forEach(log);
+        [...describeLoads(this.#state), ...admission].forEach(log);
+        describeOutput(this.#state).forEach(log);
       }
       throw error instanceof ScenarioError
         ? error
--- a/packages/scenario/src/process/run/describeLoads.ts
+++ b/packages/scenario/src/process/run/describeLoads.ts
@@ -39,6 +39,23 @@
   );
 }
 
+/** Names the requests that ran twice and the attempts that ran behind "not run", for a search in the logs. */
+export function describeFaults(state: ScenarioState): readonly string[] {
+  const { runs } = state.fleet;
+  const refused = [...state.loads.values()].flatMap((load) =>
+    load.records.flatMap((record) => record.notRunAttempts),
+  );
+  const hidden = runs.listNotRunButRan(refused).slice(0, SHOWN_REASONS);
+  const double = runs.listRanTwice().slice(0, SHOWN_REASONS);
+  const ids = [...hidden, ...double];
+  const found = runs.runs.filter(
+    (run) => ids.includes(run.attemptId) || ids.includes(run.requestId),
+  );
+  return found.map(
+    (run) => `       ran: ${run.attemptId} ${run.route} at ${run.vm} at ${run.atMs.toFixed(0)} ms`,
+  );
+}
+
 function describeReasons(records: readonly caller.RequestRecord[]): string {
   const counts = new Map<string, number>();
   records
--- a/packages/testkit/src/process/backend/BackendServer.ts
+++ b/packages/testkit/src/process/backend/BackendServer.ts
@@ -13,6 +13,8 @@
 /** EX_SOFTWARE of sysexits, told apart from ordinary ends in logs. */
 export const CRASH_EXIT_CODE = 70;
 
+const RUN_ID_BYTES = 4;
+
 /** Faults that tests switch on. */
 export interface BackendFaults {
   /** All work takes this many times as long. */
@@ -27,6 +29,8 @@
   readonly route: BackendRoute;
   readonly requestId: string;
   readonly attemptId: string;
+  /** Distinguishes the runs of one attempt. */
+  readonly runId: string;
   readonly headers: http.IncomingHttpHeaders;
   readonly signal: AbortSignal;
 }
@@ -134,7 +138,8 @@
     const signal = Number.isFinite(deadline)
       ? AbortSignal.any([cancellation.signal, AbortSignal.timeout(Math.max(1, deadline))])
       : cancellation.signal;
-    const failure = await this.#work({ route, requestId, attemptId, headers, signal });
+    const runId = crypto.randomBytes(RUN_ID_BYTES).toString('hex');
+    const failure = await this.#work({ route, requestId, attemptId, runId, headers, signal });
     if (cancellation.signal.aborted) {
       this.#counters.cancelled += 1;
       return;
@@ -168,18 +173,20 @@
 
   async #call(work: Work, call: BackendCall, index: number): Promise<string | undefined> {
     const suffix = `/${index}.${call.route}`;
+    // A node may run a repeatable parent again, and each run makes calls of its own.
+    const attemptId = `${work.attemptId}/${work.runId}${suffix}`;
     const target = call.target.replaceAll(/:[^/]+/g, () => this.#pickNumber());
     const answer = await callEgress({
       origin: this.#egress,
       method: call.method,
       target,
       requestId: work.requestId + suffix,
-      attemptId: work.attemptId + suffix,
+      attemptId,
       parent: work.headers,
       signal: work.signal,
     });
     if (answer.outcome === 'not-run') {
-      await this.#reporter.recordRefusal(work.attemptId + suffix);
+      await this.#reporter.recordRefusal(attemptId);
     }
     return answer.status === 200 ? undefined : `${call.route}:${answer.status}:${answer.reason}`;
   }
--- a/packages/testkit/test/backend.test.ts
+++ b/packages/testkit/test/backend.test.ts
@@ -1,6 +1,7 @@
 import * as childProcess from 'node:child_process';
 import { once } from 'node:events';
 import * as fs from 'node:fs/promises';
+import * as http from 'node:http';
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as url from 'node:url';
@@ -8,6 +9,7 @@
 import * as undici from 'undici';
 import * as bundle from '@tanagerpond/bundle';
 import { backend, collector, time } from '../src/index.js';
+import * as connection from '../src/connection/index.js';
 
 function buildOptions(origin: string, serviceMs: number): backend.BackendOptions {
   const route = { method: 'POST', repeatable: false, serviceMs, calls: [] };
@@ -73,6 +75,30 @@
     expect(server.snapshot()).to.include({ running: 0, cancelled: 1 });
   });
 
+  it('guards against a refused call that is taken for a call of an earlier run of the same attempt', async () => {
+    const seen: string[] = [];
+    const egress = http.createServer((request, response) => {
+      seen.push(String(request.headers['x-attempt-id']));
+      const answer = JSON.stringify({ requestId: request.headers['x-request-id'] });
+      response.end(answer);
+    });
+    const origin = `http://${await connection.openLoopback(egress)}`;
+    await using runs = new collector.RunCollector();
+    const options = buildOptions(`http://${await runs.open()}`, 1);
+    const call = { route: 'other.read', method: 'GET', target: '/other/items/:id' };
+    await using server = new backend.BackendServer({
+      ...options,
+      routes: [{ ...options.routes[0], calls: [call] }],
+    });
+    server.setEgress(origin);
+    const address = await server.open();
+    const statuses = [await send(address, 'same'), await send(address, 'same')];
+    await connection.closeServer(egress);
+    expect(statuses.map((answer) => answer.statusCode)).to.deep.equal([200, 200]);
+    expect(new Set(seen).size).to.equal(2);
+    expect(seen.every((id) => id.startsWith('same.1/'))).to.equal(true);
+  });
+
   it('guards against a run that is lost when the process crashes', async () => {
     await using runs = new collector.RunCollector();
     const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'scenario-backend-'));
