Count only refusals that tell of a VM's load against it in routing

A refusal that follows from the request (no ticket, suspect, undeclared call) counted as one of the VM and could eject it.

--- a/packages/core/src/request/calls/EntryAttempts.ts
+++ b/packages/core/src/request/calls/EntryAttempts.ts
@@ -1,5 +1,6 @@
 import type { Answer, Refused } from '@tanagerpond/wire';
 import type { NodeServices } from '../../process/node/NodeServices.js';
+import type { RoutingOutcome } from '../../process/routing/index.js';
 import { createRefusal, REFUSALS, type Refusal, type RefusalReason } from '../refusals.js';
 import type { AttemptSender } from './AttemptSender.js';
 import { decideRetry } from './decideRetry.js';
@@ -9,6 +10,16 @@
 import { fromWireOutcome } from './fromWireOutcome.js';
 import type { TicketRequests } from './TicketRequests.js';
 
+/** Refusals that show that a VM is busy or away. */
+const VM_REASONS: ReadonlySet<RefusalReason> = new Set([
+  'overloaded',
+  'noBackend',
+  'leaving',
+  'starting',
+  'ticketTableFull',
+  'buffersFull',
+]);
+
 /** Parts that attempts work with. */
 export interface AttemptParts {
   readonly table: EntryTable;
@@ -104,7 +115,7 @@
     }
     const { call, attempt } = found;
     const refusal = readRefusal(refused);
-    const kind = refusal.outcome === 'notRun' ? 'refused' : 'failed';
+    const kind = describeOutcome(refusal);
     const latencyMs = nowMs - attempt.sentMs;
     this.#services.router.recordOutcome(peer, { kind, latencyMs, load: refused.load }, nowMs);
     this.#services.pressure.record(refused.levels, nowMs);
@@ -259,6 +270,14 @@
     : refusal;
 }
 
+/** Tells the router what a refusal says about the VM: nothing when it follows from the request itself. */
+function describeOutcome(refusal: Refusal): RoutingOutcome['kind'] {
+  if (refusal.outcome !== 'notRun') {
+    return 'failed';
+  }
+  return VM_REASONS.has(refusal.reason) ? 'refused' : 'cancelled';
+}
+
 function isBound(call: EntryCall): boolean {
   return call.once?.kind === 'ticket' || call.mayHaveRun;
 }
