--- a/packages/core/src/process/node/NodeMachine.ts
+++ b/packages/core/src/process/node/NodeMachine.ts
@@ -213,6 +213,7 @@
 
   #handleLinkFailed(peer: string, nowMs: number): void {
     this.#services.router.recordLink(peer, false, nowMs);
+    this.#applyConfiguration(this.#configuration.recordLink(peer, false, nowMs), nowMs);
     this.#entry.ticketRequests.recordLinkLost(peer, nowMs);
     this.#entry.attempts.recordLinkFailed(peer, nowMs);
   }
