--- a/packages/node/test/bin/tanagerpondNode.test.ts
+++ b/packages/node/test/bin/tanagerpondNode.test.ts
@@ -64,6 +64,16 @@
     expect(errors).to.match(/^settings: .*node\.ini: \[platform\] wait expected a known key\n$/);
   });
 
+  it('guards against TLS files that are found missing only when a peer connects', async () => {
+    const files = 'certificate = no.crt\nkey = no.key\nauthorities = no-ca.crt';
+    await run(renderSettings('a', OUTSIDE).replace('plain-text = yes', files), '--check');
+    await waitFor('the check', () => exitCode !== undefined);
+    expect(exitCode).to.equal(2);
+    expect(
+      errors.match(/\[tls\] (certificate|key|authorities) expected a readable PEM file/g),
+    ).to.have.length(3);
+  });
+
   it('guards against a planned stop that ends with an error or leaves the admin listener blind', async () => {
     await run(renderSettings('a', OUTSIDE));
     const { admin, caller } = await waitReady();
--- /dev/null
+++ b/packages/node/test/connection/PeerLinks.test.ts
@@ -0,0 +1,131 @@
+import type { node } from '@tanagerpond/core';
+import { encodeFrame, joinFrames } from '@tanagerpond/wire';
+import { expect } from 'chai';
+import { buildFrame, PeerLinks } from '../../src/connection/index.js';
+import { BodyStore } from '../../src/process/bodies/index.js';
+import { Counters } from '../../src/process/metrics/index.js';
+import { MemoryStream } from '../support/MemoryStream.js';
+
+const FIRST = '1'.repeat(32);
+
+const SECOND = '2'.repeat(32);
+
+describe('the links of a process', () => {
+  let links: PeerLinks;
+  let messages: node.NodeMessage[];
+  let counters: Counters;
+  let opened: [address: string, peerEnd: MemoryStream][];
+
+  beforeEach(() => {
+    messages = [];
+    opened = [];
+    counters = new Counters();
+    links = new PeerLinks({
+      buildHello: () => buildFrame({ case: 'hello', value: { vm: 'self', incarnation: FIRST } }),
+      connect: (_peer, address) => {
+        const [own, other] = MemoryStream.createPair();
+        opened.push([address, other]);
+        return { stream: own, abort: () => own.abort() };
+      },
+      publish: (message) => messages.push(message),
+      store: new BodyStore(1024),
+      maxBody: 1024,
+      counters,
+      log: { write: () => undefined },
+      now: () => performance.now(),
+    });
+  });
+
+  afterEach(() => links[Symbol.asyncDispose]());
+
+  function listAddress(peerAddress: string): void {
+    const vm = { name: 'peer', service: 's', failureDomain: 'd', state: 'live' } as const;
+    links.replaceAddresses([{ ...vm, peerAddress }]);
+  }
+
+  /** Opens a stream to this process, as a peer does. */
+  function openInbound(incarnation: string, vm = 'peer'): MemoryStream {
+    const [own, other] = MemoryStream.createPair();
+    links.accept({ stream: own, names: undefined, abort: () => own.abort() });
+    sendHello(other, incarnation, vm);
+    return own;
+  }
+
+  function sendHello(stream: MemoryStream, incarnation: string, vm = 'peer'): void {
+    const hello = buildFrame({ case: 'hello', value: { vm, incarnation } });
+    stream.write(joinFrames([encodeFrame(hello)]));
+  }
+
+  async function settle(): Promise<void> {
+    for (let turn = 0; turn < 6; turn++) {
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+  }
+
+  it('guards against a peer that opens a second stream and is served on the dead one', async () => {
+    const first = openInbound(FIRST);
+    await settle();
+    openInbound(SECOND);
+    await settle();
+    expect(first.aborted).to.equal(true);
+    expect(messages).to.deep.equal([
+      { kind: 'linkUp', peer: 'peer', incarnation: FIRST, inbound: true },
+      { kind: 'linkDown', peer: 'peer', incarnation: FIRST, inbound: true },
+      { kind: 'linkUp', peer: 'peer', incarnation: SECOND, inbound: true },
+    ]);
+  });
+
+  it('guards against names and incarnations that no node has', async () => {
+    openInbound('short');
+    openInbound(FIRST, '');
+    await settle();
+    expect(messages).to.deep.equal([]);
+  });
+
+  it('guards against a link to an address that now belongs to another VM', async () => {
+    listAddress('10.0.0.1:1');
+    links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
+    sendHello(opened[0][1], FIRST);
+    await settle();
+    listAddress('10.0.0.2:1');
+    await settle();
+    expect(messages.map(({ kind }) => kind)).to.deep.equal(['linkUp', 'linkDown']);
+    links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
+    expect(opened.map(([address]) => address)).to.deep.equal(['10.0.0.1:1', '10.0.0.2:1']);
+  });
+
+  it('guards against another VM that answers at the address of a peer', async () => {
+    listAddress('10.0.0.1:1');
+    links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
+    sendHello(opened[0][1], FIRST, 'other');
+    await settle();
+    expect(messages).to.deep.equal([{ kind: 'linkFailed', peer: 'peer' }]);
+  });
+
+  it('guards against a storm of connections to a peer that does not answer', async () => {
+    listAddress('10.0.0.1:1');
+    links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
+    opened[0][1].abort();
+    await settle();
+    links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
+    expect(messages.length).to.equal(1);
+    await settle();
+    expect(messages.map(({ kind }) => kind)).to.deep.equal(['linkFailed', 'linkFailed']);
+    expect(opened.length).to.equal(1);
+  });
+
+  it('guards against a reply that opens a stream, or holds its body when there is none', () => {
+    let released = 0;
+    const body = {
+      bytes: Buffer.from('x'),
+      release: () => {
+        released += 1;
+      },
+    };
+    links.sendReply('peer', buildFrame({ case: 'answer', value: { callId: 'c' } }), body);
+    expect([released, opened.length]).to.deep.equal([1, 0]);
+    expect(counters.read()).to.deep.equal({ link_reply_without_stream: 1 });
+  });
+});
--- /dev/null
+++ b/packages/node/test/process/createLogger.test.ts
@@ -0,0 +1,36 @@
+import { Writable } from 'node:stream';
+import { expect } from 'chai';
+import { createLogger } from '../../src/index.js';
+
+describe('the log', () => {
+  it('guards against a failure that fills the log, and against repetitions that nobody sees', () => {
+    const lines: Record<string, unknown>[] = [];
+    let nowMs = 0;
+    const log = createLogger({
+      level: 'info',
+      stream: new Writable({
+        write: (chunk: Buffer, _encoding, done) => {
+          lines.push(JSON.parse(chunk.toString()) as Record<string, unknown>);
+          done();
+        },
+      }),
+      now: () => nowMs,
+    });
+    log.write('debug', 'link', 'not written');
+    log.write('info', 'link', 'written');
+    log.write('info', 'link', 'written');
+    [0, 5_000, 9_999, 10_000, 10_001].forEach((timeMs) => {
+      nowMs = timeMs;
+      log.write('warn', 'link', 'peer link is down', { peer: 'a' });
+    });
+    log.write('warn', 'caller', 'peer link is down');
+    expect(lines.map(({ message, repeated }) => [message, repeated])).to.deep.equal([
+      ['link: written', undefined],
+      ['link: written', undefined],
+      ['link: peer link is down', undefined],
+      ['link: peer link is down', 2],
+      ['caller: peer link is down', undefined],
+    ]);
+    expect(lines[2]).to.include({ level: 'warn', peer: 'a' });
+  });
+});
