--- a/packages/testkit/src/process/caller/CallerLoad.ts
+++ b/packages/testkit/src/process/caller/CallerLoad.ts
@@ -186,7 +186,12 @@
   if (result.end === 'refusedNotRun') {
     return result.status === 0 || result.status === 429 || result.status >= 500;
   }
-  return result.end === 'unknown' && (route.repeatable || ticket !== undefined);
+  // Callers also retry the failures that a backend server reports, as clients do with any status of 500 and more.
+  const isFailure = result.end === 'failed' && result.status >= 500;
+  return (
+    (isFailure && route.repeatable) ||
+    (result.end === 'unknown' && (route.repeatable || ticket !== undefined))
+  );
 }
 
 /** A refusal of the last attempt does not tell what became of an earlier one. */
--- a/packages/testkit/test/caller.test.ts
+++ b/packages/testkit/test/caller.test.ts
@@ -76,6 +76,16 @@
     expect(load.records.every((record) => record.attempts === 3)).to.equal(true);
   });
 
+  it('guards against callers that take a failure of a repeatable route as final, or repeat a booking', async () => {
+    const fail: Handler = () => [502, { 'tanagerpond-outcome': 'complete' }, { failure: 'deep' }];
+    const repeatable = await runAgainst(fail);
+    const booking = await runAgainst(fail, false);
+    expect(listEnds(repeatable)).to.deep.equal(['failed']);
+    expect(repeatable.records.every((record) => record.attempts === 3)).to.equal(true);
+    expect(booking.records.every((record) => record.attempts === 1)).to.equal(true);
+    expect(booking.records.every((record) => record.reason === 'deep')).to.equal(true);
+  });
+
   it('guards against an unknown attempt that a later refusal hides', async () => {
     const load = await runAgainst((request) => {
       const isFirst = String(request.headers['x-attempt-id']).endsWith('.1');
