Let the next VM hold the shares of a domain whose holder is out of reach

A VM acts as holder when nobody asked for its share during a lease and a quarter for each place in the ranking, and spenders pass over silent holders.

--- a/packages/core/src/process/shares/HolderRanking.ts
+++ b/packages/core/src/process/shares/HolderRanking.ts
@@ -1,5 +1,8 @@
 import * as membership from '../membership/index.js';
 
+/** Each place in the ranking waits this part of the lease longer, so that the one before it can ask first. */
+const GRACE_OF_LEASE = 0.25;
+
 interface Ranking {
   readonly vms: readonly membership.VmRecord[];
   readonly ranked: readonly string[];
@@ -22,10 +25,30 @@
     this.#membership = view;
   }
 
-  /** Tells whether this node is the holder of its failure domain. */
-  isHolder(): boolean {
-    const holder = this.#findHolder(this.#self.failureDomain);
-    return holder === undefined || holder === this.#self.name;
+  /**
+   * Tells whether this node acts as the holder of its failure domain. The first in the ranking always does; another one
+   * does when nobody before it asked for its share in time, as in a partition that the list does not show.
+   * @param freeMs - Time for which the node's own share has not been lent, in milliseconds.
+   * @param leaseMs - Lease time of whole shares, in milliseconds.
+   */
+  isHolder(freeMs: number, leaseMs: number): boolean {
+    const present = this.#rank(this.#self.failureDomain).filter(
+      (name) => name === this.#self.name || !this.#membership.isLeaving(name),
+    );
+    const position = present.indexOf(this.#self.name);
+    const others = position < 0 ? present.length : position;
+    return others === 0 || freeMs > computeGraceMs(others, leaseMs);
+  }
+
+  /**
+   * Tells whether another VM comes before this one in the ranking of the failure domain.
+   * @param peer - Name of the other VM.
+   */
+  isOutrankedBy(peer: string): boolean {
+    const ranked = this.#rank(this.#self.failureDomain);
+    const own = ranked.indexOf(this.#self.name);
+    const other = ranked.indexOf(peer);
+    return other >= 0 && (own < 0 || other < own);
   }
 
   /** Lists the other VMs of the node's failure domain, whose shares its holder borrows. */
@@ -33,18 +56,21 @@
     return this.#rank(this.#self.failureDomain).filter((name) => name !== this.#self.name);
   }
 
-  /** Lists the holders of all failure domains but this node itself. */
-  listOtherHolders(): readonly string[] {
+  /**
+   * Lists the holders of all failure domains but this node itself; the next in the ranking stands for a silent one.
+   * @param isSilent - Tells whether a VM did not answer lately.
+   */
+  listOtherHolders(isSilent: (vm: string) => boolean): readonly string[] {
     return this.#membership
       .listFailureDomains()
-      .flatMap((domain) => this.#findHolder(domain) ?? [])
+      .flatMap(
+        (domain) =>
+          this.#rank(domain).find((name) => !this.#membership.isLeaving(name) && !isSilent(name)) ??
+          [],
+      )
       .filter((name) => name !== this.#self.name);
   }
 
-  #findHolder(domain: string): string | undefined {
-    return this.#rank(domain).find((name) => !this.#membership.isLeaving(name));
-  }
-
   #rank(domain: string): readonly string[] {
     const vms = this.#membership.findInDomain(domain);
     const known = this.#rankings.get(domain);
@@ -58,3 +84,7 @@
     return ranked;
   }
 }
+
+function computeGraceMs(position: number, leaseMs: number): number {
+  return leaseMs * (1 + position * GRACE_OF_LEASE);
+}
--- a/packages/core/src/process/shares/OwnShare.ts
+++ b/packages/core/src/process/shares/OwnShare.ts
@@ -25,6 +25,8 @@
 
   #lease: OwnLease | undefined;
 
+  #freeSinceMs = 0;
+
   /**
    * @param self - Name of the VM.
    * @param pool - Pool of the node.
@@ -70,9 +72,26 @@
     }
     if (this.#lease === undefined && this.isReady(nowMs) && !this.#pool.has(this.#self)) {
       this.#pool.add(this.#self, this.#createShare(), nowMs);
+      this.#freeSinceMs = nowMs;
     }
   }
 
+  /**
+   * Measures for how long no holder has had the share or asked for it.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  measureFreeMs(nowMs: number): number {
+    return this.#pool.has(this.#self) ? nowMs - this.#freeSinceMs : 0;
+  }
+
+  /**
+   * Records that a holder asked for the share, although it could not be lent.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  recordClaim(nowMs: number): void {
+    this.#freeSinceMs = nowMs;
+  }
+
   /**
    * Tells whether the wait after the start is over.
    * @param nowMs - Monotonic time, in milliseconds.
@@ -117,6 +136,7 @@
     this.#lease = undefined;
     const levels = new Map(returned.parts.map(({ workspace, level }) => [workspace, level]));
     this.#pool.add(this.#self, this.#createShare(), nowMs, levels);
+    this.#freeSinceMs = nowMs;
   }
 
   /** Shows where the share is. */
--- a/packages/core/src/process/shares/ShareLedger.ts
+++ b/packages/core/src/process/shares/ShareLedger.ts
@@ -127,8 +127,7 @@
       case 'shareGrant':
         return this.#receiveGrant(peer, frame.value, clockMs);
       default:
-        this.#receiveReturn(peer, frame.value, clockMs);
-        return [];
+        return this.#receiveReturn(peer, frame.value, clockMs);
     }
   }
 
@@ -174,7 +173,7 @@
   snapshot(nowMs: number): ShareSnapshot {
     const clockMs = this.#settle(nowMs);
     return {
-      holder: this.#ranking.isHolder(),
+      holder: this.#isHolder(clockMs),
       own: this.#own.snapshot(clockMs),
       borrowedShares: this.#domain.count(),
       subleases: this.#subleases.count(),
@@ -235,7 +234,8 @@
     nowMs: number,
   ): wire.ShareGrant | undefined {
     const grant = this.#own.answer(peer, request, nowMs);
-    if (grant?.leaseMs === 0 && !this.#ranking.isHolder()) {
+    if (grant?.leaseMs === 0 && this.#ranking.isOutrankedBy(peer)) {
+      this.#own.recordClaim(nowMs);
       // Subleases of the own share may stand in the way; without new ones they end.
       this.#closingUntilMs = nowMs + 2 * this.#computeSubleaseMs();
     }
@@ -260,16 +260,14 @@
     return [...granted, ...this.#requestTokens(nowMs)];
   }
 
-  #receiveReturn(peer: string, returned: wire.ShareReturn, nowMs: number): void {
-    if (returned.ends) {
-      this.#own.receiveReturn(peer, returned, nowMs);
-      return;
-    }
-    this.#subleases.receiveReturn(peer, returned, nowMs);
+  #receiveReturn(peer: string, returned: wire.ShareReturn, nowMs: number): readonly ShareCommand[] {
+    const place = returned.ends ? this.#own : this.#subleases;
+    place.receiveReturn(peer, returned, nowMs);
+    return [];
   }
 
   #advanceDomain(nowMs: number): readonly ShareCommand[] {
-    if (this.#ranking.isHolder() && !this.#released) {
+    if (this.#isHolder(nowMs) && !this.#released) {
       return this.#domain.request(this.#ranking.listOwners(), nowMs);
     }
     if (this.#domain.count() > 0) {
@@ -284,12 +282,17 @@
     }
     return this.#borrower.request(
       this.#queue.demands,
-      this.#ranking.listOtherHolders(),
+      this.#ranking.listOtherHolders((vm) => this.#borrower.isSilent(vm)),
       (name) => this.#pool.readLevel(name, nowMs),
       nowMs,
     );
   }
 
+  #isHolder(nowMs: number): boolean {
+    const leaseMs = this.#bundle?.fleet.shareLeaseMs ?? 0;
+    return this.#ranking.isHolder(this.#own.measureFreeMs(nowMs), leaseMs);
+  }
+
   #computeSubleaseMs(): number {
     return computeSubleaseMs(this.#bundle?.fleet.shareLeaseMs ?? 0);
   }
--- a/packages/core/src/process/shares/TokenBorrower.ts
+++ b/packages/core/src/process/shares/TokenBorrower.ts
@@ -154,6 +154,14 @@
     this.#levels.clear();
   }
 
+  /**
+   * Tells whether a holder did not answer lately.
+   * @param holder - Name of the VM.
+   */
+  isSilent(holder: string): boolean {
+    return this.#asks.isSilent(holder);
+  }
+
   /** Counts the requests under way. */
   count(): number {
     return this.#asks.count();
