--- a/packages/core/src/process/shares/TokenAsks.ts
+++ b/packages/core/src/process/shares/TokenAsks.ts
@@ -23,6 +23,8 @@
 
   readonly #silences = new Map<string, { untilMs: number; lengthMs: number }>();
 
+  readonly #proven = new Set<string>();
+
   #nowMs = Number.NEGATIVE_INFINITY;
 
   /**
@@ -50,6 +52,7 @@
     }
     this.#asks.delete(id);
     this.#silences.delete(holder);
+    this.#proven.add(holder);
     this.#clearExpected(ask);
     return ask.sentMs;
   }
@@ -94,6 +97,14 @@
     return (this.#silences.get(holder)?.untilMs ?? Number.NEGATIVE_INFINITY) > this.#nowMs;
   }
 
+  /**
+   * Tells whether a holder answered the latest requests.
+   * @param holder - Name of the VM.
+   */
+  isProven(holder: string): boolean {
+    return this.#proven.has(holder);
+  }
+
   /** Counts the requests under way. */
   count(): number {
     return this.#asks.size;
@@ -104,9 +115,11 @@
     this.#asks.clear();
     this.#expected.clear();
     this.#silences.clear();
+    this.#proven.clear();
   }
 
   #recordSilence(holder: string, nowMs: number): void {
+    this.#proven.delete(holder);
     const known = this.#silences.get(holder);
     if (known !== undefined && known.untilMs > nowMs) {
       return;
--- a/packages/core/src/process/shares/TokenBorrower.ts
+++ b/packages/core/src/process/shares/TokenBorrower.ts
@@ -208,7 +208,10 @@
     return [...holders.slice(first), ...holders.slice(0, first)]
       .map((holder) => ({
         holder,
-        level: this.#levels.read(workspace, holder, holders.length, nowMs),
+        // Nothing is expected of a VM that may be out of reach, so others are asked at the same time.
+        level: this.#asks.isProven(holder)
+          ? this.#levels.read(workspace, holder, holders.length, nowMs)
+          : 0,
       }))
       .sort((left, right) => right.level - left.level);
   }
