--- a/packages/core/src/process/shares/TokenBorrower.ts
+++ b/packages/core/src/process/shares/TokenBorrower.ts
@@ -154,6 +154,14 @@
     this.#levels.clear();
   }
 
+  /**
+   * Tells whether a holder did not answer lately.
+   * @param holder - Name of the VM.
+   */
+  isSilent(holder: string): boolean {
+    return this.#asks.isSilent(holder);
+  }
+
   /** Counts the requests under way. */
   count(): number {
     return this.#asks.count();
@@ -200,7 +208,10 @@
     return [...holders.slice(first), ...holders.slice(0, first)]
       .map((holder) => ({
         holder,
-        level: this.#levels.read(workspace, holder, holders.length, nowMs),
+        // Nothing is expected of a VM that may be out of reach, so others are asked at the same time.
+        level: this.#asks.isProven(holder)
+          ? this.#levels.read(workspace, holder, holders.length, nowMs)
+          : 0,
       }))
       .sort((left, right) => right.level - left.level);
   }
