--- a/packages/scenario/src/process/run/describeLoads.ts
+++ b/packages/scenario/src/process/run/describeLoads.ts
@@ -61,7 +61,7 @@
   records
     .filter((record) => record.end !== 'whole')
     .forEach((record) => {
-      const reason = `${record.end}/${record.status}/${record.reason}`;
+      const reason = `${record.end}/${record.status}/${record.reason}/${record.detail}`;
       counts.set(reason, (counts.get(reason) ?? 0) + 1);
     });
   return [...counts]
--- a/packages/testkit/src/process/caller/CallerLoad.ts
+++ b/packages/testkit/src/process/caller/CallerLoad.ts
@@ -151,6 +151,7 @@
       end: mergeEnd(result.end, isUncertain),
       status: result.status,
       reason: result.reason,
+      detail: result.detail,
       attempts: count,
       notRunAttempts,
     });
--- a/packages/testkit/src/process/caller/RequestRecord.ts
+++ b/packages/testkit/src/process/caller/RequestRecord.ts
@@ -10,6 +10,8 @@
   readonly status: number;
   /** Reason of a refusal, or an error code of the connection. */
   readonly reason: string;
+  /** What the refusal or the failed backend server names as its cause. */
+  readonly detail: string;
   /** Ticket that came with the answer. */
   readonly ticket?: string;
 }
@@ -24,6 +26,8 @@
   readonly end: RequestEnd;
   readonly status: number;
   readonly reason: string;
+  /** What the refusal or the failed backend server names as its cause. */
+  readonly detail: string;
   readonly attempts: number;
   /** Ids of the attempts that the system reported as not run. */
   readonly notRunAttempts: readonly string[];
--- a/packages/testkit/src/process/caller/sendAttempt.ts
+++ b/packages/testkit/src/process/caller/sendAttempt.ts
@@ -44,6 +44,7 @@
       end: NOT_SENT_CODES.has(code) ? 'refusedNotRun' : 'unknown',
       status: 0,
       reason: code,
+      detail: '',
     };
   }
 }
@@ -65,13 +66,14 @@
 ): AttemptResult {
   const outcome = String(headers['tanagerpond-outcome'] ?? 'complete');
   const reason = String(headers['tanagerpond-reason'] ?? '');
-  const failure = status === 200 ? '' : readFailure(text);
+  const detail = status === 200 ? '' : readDetail(text);
   const ticket = headers['tanagerpond-ticket'];
   const end = OUTCOME_ENDS[outcome] ?? checkBody(attempt, status, reason, text);
   return {
     end,
     status,
-    reason: reason || failure,
+    reason,
+    detail,
     ...(ticket === undefined ? {} : { ticket: String(ticket) }),
   };
 }
@@ -96,11 +98,11 @@
   }
 }
 
-/** A backend server names the call of its own that failed. */
-function readFailure(text: string): string {
+/** A refusal names the limit or service that caused it, and a backend server the call of its own that failed. */
+function readDetail(text: string): string {
   try {
-    const { failure } = JSON.parse(text) as { failure?: unknown };
-    return typeof failure === 'string' ? failure : '';
+    const { detail, failure } = JSON.parse(text) as { detail?: unknown; failure?: unknown };
+    return String(detail ?? failure ?? '');
   } catch {
     return '';
   }
--- a/packages/testkit/test/caller.test.ts
+++ b/packages/testkit/test/caller.test.ts
@@ -83,7 +83,7 @@
     expect(listEnds(repeatable)).to.deep.equal(['failed']);
     expect(repeatable.records.every((record) => record.attempts === 3)).to.equal(true);
     expect(booking.records.every((record) => record.attempts === 1)).to.equal(true);
-    expect(booking.records.every((record) => record.reason === 'deep')).to.equal(true);
+    expect(booking.records.every((record) => record.detail === 'deep')).to.equal(true);
   });
 
   it('guards against an unknown attempt that a later refusal hides', async () => {
