Say vmUnreachable for a link that cannot be opened, and spread list watches by fleet size

A caller whose only VM was out of reach got 421 without a time to come back; it is now 503 with one. All nodes asked for the changed VM list within 500 ms of a change: 36,000 reads a second at 18,000 nodes against the 2,000 that the service allows (worked out, not run); the pause now grows by 1 ms a listed VM, so that the fleet asks at most 1,000 times a second.

--- a/packages/core/src/request/calls/EntryAttempts.ts
+++ b/packages/core/src/request/calls/EntryAttempts.ts
@@ -1,6 +1,7 @@
 import type { Answer, Refused } from '@tanagerpond/wire';
 import type { NodeServices } from '../../process/node/NodeServices.js';
 import type { RoutingOutcome } from '../../process/routing/index.js';
+import { computeRetryAfter } from '../computeRetryAfter.js';
 import { createRefusal, REFUSALS, type Refusal, type RefusalReason } from '../refusals.js';
 import type { AttemptSender } from './AttemptSender.js';
 import { decideRetry } from './decideRetry.js';
@@ -20,6 +21,9 @@
   'buffersFull',
 ]);
 
+/** Time after which a VM that could not be reached is worth another try, in milliseconds. */
+const UNREACHABLE_RETRY_MS = 1_000;
+
 /** Parts that attempts work with. */
 export interface AttemptParts {
   readonly table: EntryTable;
@@ -146,7 +150,8 @@
   recordLinkFailed(peer: string, nowMs: number): void {
     this.#listAttemptsAt(peer).forEach((call) => {
       this.#dropAttempt(call, nowMs);
-      const notRun = createRefusal('vmUnknown', { detail: 'link could not be opened' });
+      const retryAfterMs = computeRetryAfter(UNREACHABLE_RETRY_MS, this.#services.random);
+      const notRun = createRefusal('vmUnreachable', { retryAfterMs });
       const refusal: Refusal = isBound(call) ? createRefusal('linkLost') : notRun;
       this.#endAttempt(call, refusal, nowMs);
     });
--- a/packages/core/src/request/calls/decideRetry.ts
+++ b/packages/core/src/request/calls/decideRetry.ts
@@ -5,7 +5,12 @@
 const REDIRECT_LIMIT = 3;
 
 /** Reasons for which the call never reached an admission queue; another VM may take it at once. */
-const REDIRECT_REASONS: ReadonlySet<RefusalReason> = new Set(['leaving', 'starting', 'vmUnknown']);
+const REDIRECT_REASONS: ReadonlySet<RefusalReason> = new Set([
+  'leaving',
+  'starting',
+  'vmUnknown',
+  'vmUnreachable',
+]);
 
 /** Reasons for which another VM may do better. */
 const RETRY_REASONS: ReadonlySet<RefusalReason> = new Set([
--- a/packages/core/src/request/refusals.ts
+++ b/packages/core/src/request/refusals.ts
@@ -27,6 +27,7 @@
   noBackend: { status: 503, outcome: 'notRun', retryAfter: true },
   starting: { status: 503, outcome: 'notRun', retryAfter: true },
   leaving: { status: 503, outcome: 'notRun', retryAfter: true },
+  vmUnreachable: { status: 503, outcome: 'notRun', retryAfter: true },
   vmUnknown: { status: 421, outcome: 'notRun', retryAfter: false },
   deadlineExpired: { status: 504, outcome: 'notRun', retryAfter: true },
   deadlinePassedWhileRunning: { status: 504, outcome: 'unknown', retryAfter: false },
--- a/packages/node/src/process/platform/PlatformReader.ts
+++ b/packages/node/src/process/platform/PlatformReader.ts
@@ -22,7 +22,10 @@
 const VMS_PATH = '/vms';
 
 /** The list lags by more than this anyway; all nodes wake at once when it changes. */
-const VMS_SPREAD_MS = 500;
+const SHORTEST_VMS_SPREAD_MS = 500;
+
+/** All nodes together then watch the list anew 1,000 times a second at most, half of what the service allows. */
+const VMS_SPREAD_PER_VM_MS = 1;
 
 /** Few nodes watch the bundle, and new versions must spread within seconds. */
 const BUNDLE_SPREAD_MS = 50;
@@ -51,6 +54,8 @@
 
   #reading = false;
 
+  #listedVms = 0;
+
   /** @param options - Address of the platform and where values go. */
   constructor(options: PlatformReaderOptions) {
     this.#options = options;
@@ -59,14 +64,15 @@
     this.#bundle = new ValueWatch({
       ...common,
       path: BUNDLE_PATH,
-      spreadMs: BUNDLE_SPREAD_MS,
+      computeSpreadMs: () => BUNDLE_SPREAD_MS,
       onValue: (envelope) => options.publish({ kind: 'envelopeRead', envelope }),
       onFailure: (error) => this.#reportBundle(error),
     });
     this.#vms = new ValueWatch({
       ...common,
       path: VMS_PATH,
-      spreadMs: VMS_SPREAD_MS,
+      computeSpreadMs: () =>
+        Math.max(SHORTEST_VMS_SPREAD_MS, this.#listedVms * VMS_SPREAD_PER_VM_MS),
       onValue: (text) => this.#acceptList(text),
       onFailure: (error) => this.#report('membership', error),
     });
@@ -118,6 +124,7 @@
       this.#report('membership', new PlatformError(VMS_PATH, 'malformed'));
       return;
     }
+    this.#listedVms = vms.length;
     this.#options.publish({ kind: 'vmsListed', vms });
   }
 
--- a/packages/node/src/process/platform/ValueWatch.ts
+++ b/packages/node/src/process/platform/ValueWatch.ts
@@ -8,8 +8,8 @@
   readonly path: string;
   /** Longest wait of one read, in milliseconds. */
   readonly waitMs: number;
-  /** Longest random pause after a new value, in milliseconds; spreads the reads of a large fleet. */
-  readonly spreadMs: number;
+  /** Computes the longest random pause after a new value, in milliseconds; spreads the reads of a large fleet. */
+  readonly computeSpreadMs: () => number;
   readonly onValue: (text: string) => void;
   readonly onFailure: (error: PlatformError) => void;
 }
@@ -62,7 +62,7 @@
         return;
       }
       pauseMs = result.isErr ? Math.min(pauseMs * 2, LONGEST_PAUSE_MS) : FIRST_PAUSE_MS;
-      const waitMs = this.#accept(result) ? Math.random() * this.#options.spreadMs : 0;
+      const waitMs = this.#accept(result) ? Math.random() * this.#options.computeSpreadMs() : 0;
       const failedMs = pauseMs * (0.5 + Math.random() / 2);
       await this.#pause(result.isErr ? failedMs : waitMs);
     }
