Shed at the entry by the levels of deeper services (tried)

The level of a service is made for callers one hop away; two hops away it arrives late and on top of what the nodes between shed, so that far too much is refused.

--- a/packages/core/src/process/pressure/PressureTable.ts
+++ b/packages/core/src/process/pressure/PressureTable.ts
@@ -95,7 +95,8 @@
     workspace?: string,
   ): PressureDecision {
     const chances = services.map((name) => this.#readChance(name, workspace, priority, nowMs));
-    const shed = chances.findIndex((chance) => this.#random.next() >= chance);
+    const draw = this.#random.next();
+    const shed = chances.findIndex((chance) => draw >= chance);
     if (shed < 0) {
       return { admitted: true };
     }
