--- a/packages/core/src/process/pressure/PressureTable.ts
+++ b/packages/core/src/process/pressure/PressureTable.ts
@@ -95,8 +95,7 @@
     workspace?: string,
   ): PressureDecision {
     const chances = services.map((name) => this.#readChance(name, workspace, priority, nowMs));
-    const draw = this.#random.next();
-    const shed = chances.findIndex((chance) => draw >= chance);
+    const shed = chances.findIndex((chance) => this.#random.next() >= chance);
     if (shed < 0) {
       return { admitted: true };
     }
--- a/packages/core/src/request/calls/EntryCalls.ts
+++ b/packages/core/src/request/calls/EntryCalls.ts
@@ -15,7 +15,6 @@
 import type { EntryTable } from './EntryTable.js';
 import type { ExitCall } from './ExitCall.js';
 import type { ExitTable } from './ExitTable.js';
-import { listReachedServices } from './listReachedServices.js';
 import type { TicketRequests } from './TicketRequests.js';
 
 /** Time after which a starting node is worth another try, in milliseconds. */
@@ -187,9 +186,8 @@
         bundleVersion: bundle.version,
       },
     });
-    const services = listReachedServices(bundle, admitted.route);
-    const { priority } = admitted.route;
-    const verdict = this.#services.pressure.decide(services, priority, nowMs, admitted.workspace);
+    const { priority, service } = admitted.route;
+    const verdict = this.#services.pressure.decide([service], priority, nowMs, admitted.workspace);
     if (!verdict.admitted) {
       const { retryAfterMs } = verdict;
       const refusal = createRefusal('overloaded', { retryAfterMs, detail: verdict.service });
