--- a/packages/core/bench/ClosedLoop.ts
+++ b/packages/core/bench/ClosedLoop.ts
@@ -3,7 +3,7 @@
 import { PressureTable } from '../src/process/pressure/index.js';
 import type { RandomSource } from '../src/process/time/index.js';
 import { createRandom } from './createRandom.js';
-import { EventQueue } from './EventQueue.js';
+import { EventHeap } from '../test/support/EventHeap.js';
 import { BACKEND, CALLER, CAPACITY_PER_S, SLICE_MS } from './LoopSettings.js';
 import type { LoopSettings, LoopSlice } from './LoopSettings.js';
 import { SimulatedBackend } from './SimulatedBackend.js';
@@ -42,7 +42,7 @@
 
   readonly #random: RandomSource;
 
-  readonly #events = new EventQueue();
+  readonly #events = new EventHeap();
 
   readonly #backend: SimulatedBackend;
 
--- a/packages/core/src/process/node/NodeMachine.ts
+++ b/packages/core/src/process/node/NodeMachine.ts
@@ -1,9 +1,10 @@
-import { describeBundleError, type Bundle } from '@tanagerpond/bundle';
+import type { Bundle } from '@tanagerpond/bundle';
 import * as calls from '../../request/calls/index.js';
 import * as configuration from '../../version/configuration/index.js';
 import type * as membership from '../membership/index.js';
 import type * as shares from '../shares/index.js';
 import { BackendHealth } from './BackendHealth.js';
+import { createRejectedLog } from './createRejectedLog.js';
 import { createNodeServices, type NodeMachineOptions } from './createNodeServices.js';
 import { Departure } from './Departure.js';
 import { FrameDispatcher } from './FrameDispatcher.js';
@@ -291,15 +292,3 @@
     });
   }
 }
-
-function createRejectedLog(
-  command: Extract<configuration.ConfigurationCommand, { kind: 'rejected' }>,
-): NodeCommand {
-  return {
-    kind: 'log',
-    level: 'warn',
-    part: 'configuration',
-    text: 'bundle was refused',
-    fields: { source: command.source, error: describeBundleError(command.error) },
-  };
-}
--- /dev/null
+++ b/packages/core/src/process/node/createRejectedLog.ts
@@ -0,0 +1,19 @@
+import { describeBundleError } from '@tanagerpond/bundle';
+import type { ConfigurationCommand } from '../../version/configuration/index.js';
+import type { NodeCommand } from './NodeCommand.js';
+
+/**
+ * Creates the log line of a bundle that was refused.
+ * @param command - Source and error; the error holds no values of the bundle.
+ */
+export function createRejectedLog(
+  command: Extract<ConfigurationCommand, { kind: 'rejected' }>,
+): NodeCommand {
+  return {
+    kind: 'log',
+    level: 'warn',
+    part: 'configuration',
+    text: 'bundle was refused',
+    fields: { source: command.source, error: describeBundleError(command.error) },
+  };
+}
--- a/packages/core/bench/EventQueue.ts
+++ b/packages/core/test/support/EventHeap.ts
@@ -5,7 +5,7 @@
 }
 
 /** Scheduled events in the order of their times (binary heap); equal times keep the order of scheduling. */
-export class EventQueue {
+export class EventHeap {
   readonly #heap: Event[] = [];
 
   #order = 0;
