Take the time of a poison block from the bundle

The table kept its start value of 10 minutes whatever `poison-block` said. The new test saw 2 crashes in place of 3 after 61 s with a block of 60 s.

--- a/packages/core/src/process/node/NodeMachine.ts
+++ b/packages/core/src/process/node/NodeMachine.ts
@@ -243,6 +243,7 @@
     if (service !== undefined) {
       this.#services.admission.configure({ slots: service.slots, queue: service.queue });
     }
+    this.#services.suspects.configure({ blockMs: bundle.fleet.poisonBlockMs });
     this.#services.shares.applyBundle(bundle, nowMs);
     this.#entry.calls.recheckKeys(bundle);
     this.#services.outbox.add({
--- a/packages/core/src/process/suspects/SuspectTable.ts
+++ b/packages/core/src/process/suspects/SuspectTable.ts
@@ -27,7 +27,7 @@
  * crash is known where they run: 2 if every report arrives before the next attempt.
  */
 export class SuspectTable {
-  readonly #blockMs: number;
+  #blockMs: number;
 
   /** In the order of the last crash, oldest first. */
   readonly #entries = new Map<string, Entry>();
@@ -37,6 +37,14 @@
     this.#blockMs = options.blockMs;
   }
 
+  /**
+   * Takes the limits of a new bundle; entries that exist keep their end.
+   * @param limits - `blockMs`: as in the constructor, in milliseconds.
+   */
+  configure(limits: { blockMs: number }): void {
+    this.#blockMs = limits.blockMs;
+  }
+
   /**
    * Records a crash of a backend server of the service. Further reports of the same crash change nothing.
    * @param fingerprints - Fingerprints of the calls that ran on it.
--- a/packages/core/test/process/node/sessions.test.ts
+++ b/packages/core/test/process/node/sessions.test.ts
@@ -114,4 +114,21 @@
     ).to.equal(true);
     await expectGolden('poison-request', lines);
   });
+
+  it('guards against a poison request that stays refused longer than the bundle says', () => {
+    const { fleet, send } = openSession();
+    ['deep-1', 'deep-2'].forEach((vm) => {
+      send(vm, 'GET', '/front/poison/a');
+      fleet.events.runUntil(fleet.events.nowMs + 1_000);
+    });
+    const blocked = send('deep-1', 'GET', '/front/poison/a');
+    fleet.events.runUntil(fleet.events.nowMs + 61_000);
+    send('deep-1', 'GET', '/front/poison/a');
+    fleet.events.runUntil(fleet.events.nowMs + 1_000);
+    const crashes = fleet.listNodes().reduce((sum, node) => sum + node.backend.crashes, 0);
+    expect(blocked.map((end) => end.kind === 'refused' && end.reason)).to.deep.equal([
+      'suspectRefused',
+    ]);
+    expect(crashes).to.equal(3);
+  });
 });
