--- /dev/null
+++ b/packages/core/src/request/identity/removeConnectionHeaders.ts
@@ -0,0 +1,29 @@
+import type { HeaderPair } from '../../process/node/NodeMessage.js';
+
+/** Hop-by-hop headers (RFC 9110, section 7.6.1), and those that the HTTP libraries set themselves. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'content-length',
+  'expect',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/**
+ * Removes the headers that must not go from one connection to the next.
+ * @param headers - Headers with lower-case names.
+ */
+export function removeConnectionHeaders(headers: readonly HeaderPair[]): readonly HeaderPair[] {
+  const named = headers
+    .filter(([name]) => name === 'connection')
+    .flatMap(([, value]) => value.split(','))
+    .map((option) => option.trim().toLowerCase());
+  const removed = new Set(named);
+  return headers.filter(([name]) => !CONNECTION_HEADERS.has(name) && !removed.has(name));
+}
--- a/packages/node/src/process/backend/BackendExchange.ts
+++ b/packages/node/src/process/backend/BackendExchange.ts
@@ -1,6 +1,7 @@
+import { identity } from '@tanagerpond/core';
 import type { node } from '@tanagerpond/core';
 import type { Dispatcher } from 'undici';
-import { parseRawHeaders, removeConnectionHeaders } from '../../request/headers.js';
+import { parseRawHeaders } from '../../request/parseRawHeaders.js';
 import type { BodyStore, Reservation } from '../bodies/index.js';
 
 /** Header by which a backend server says that it shed a request without running it. */
@@ -71,7 +72,7 @@
     }
     const raw = parseRawHeaders(controller.rawHeaders as readonly Buffer[]);
     this.#status = status;
-    this.#headers = removeConnectionHeaders(raw);
+    this.#headers = identity.removeConnectionHeaders(raw);
     this.#framed = raw.some(
       ([name, value]) =>
         name === 'content-length' || (name === 'transfer-encoding' && /chunked/i.test(value)),
--- a/packages/node/src/process/backend/BackendPool.ts
+++ b/packages/node/src/process/backend/BackendPool.ts
@@ -1,6 +1,6 @@
+import { identity } from '@tanagerpond/core';
 import type { node } from '@tanagerpond/core';
 import { Pool } from 'undici';
-import { removeConnectionHeaders } from '../../request/headers.js';
 import type { BodyStore, HeldBody } from '../bodies/index.js';
 import type { Counters } from '../metrics/index.js';
 import { BackendExchange } from './BackendExchange.js';
@@ -67,9 +67,9 @@
       },
     });
     this.#exchanges.set(callId, exchange);
-    const headers = removeConnectionHeaders(call.headers).filter(
-      ([name]) => !REMOVED_HEADERS.has(name),
-    );
+    const headers = identity
+      .removeConnectionHeaders(call.headers)
+      .filter(([name]) => !REMOVED_HEADERS.has(name));
     const content = body.bytes.length > 0 ? body.bytes : null;
     try {
       this.#pool.dispatch(
--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -4,7 +4,7 @@
 import { getRequestListener } from '@hono/node-server';
 import type { HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
-import { request } from '@tanagerpond/core';
+import { identity, request } from '@tanagerpond/core';
 import type { node } from '@tanagerpond/core';
 import { Hono } from 'hono';
 import type { BodyStore, HeldBody } from '../process/bodies/index.js';
@@ -13,7 +13,7 @@
 import type { PlainAnswer } from './buildRefusalAnswer.js';
 import { discardBody } from './discardBody.js';
 import { hasKeyShape } from './hasKeyShape.js';
-import { parseRawHeaders, removeConnectionHeaders } from './headers.js';
+import { parseRawHeaders } from './parseRawHeaders.js';
 import { readBody } from './readBody.js';
 import type { ReadBodyResult } from './readBody.js';
 import { renderAnswer, writeAnswer } from './writeAnswer.js';
@@ -145,7 +145,7 @@
     }
     pending.outgoing.once('close', () => body.release());
     const outcome: node.HeaderPair = ['tanagerpond-outcome', OUTCOME_HEADER.complete];
-    const headers = removeConnectionHeaders(answer.headers);
+    const headers = identity.removeConnectionHeaders(answer.headers);
     this.#send(requestId, pending, {
       status: answer.status,
       headers: [...headers, outcome],
--- a/packages/node/src/request/index.ts
+++ b/packages/node/src/request/index.ts
@@ -1,3 +1,3 @@
-export { parseRawHeaders, removeConnectionHeaders } from './headers.js';
+export { parseRawHeaders } from './parseRawHeaders.js';
 export { RequestListener } from './RequestListener.js';
 export type { RequestLimits } from './RequestListener.js';
--- /dev/null
+++ b/packages/node/src/request/parseRawHeaders.ts
@@ -0,0 +1,17 @@
+import type { node } from '@tanagerpond/core';
+
+/**
+ * Takes the raw header list of a message apart.
+ * @param raw - Names and values in turn, as node:http and undici give them.
+ */
+export function parseRawHeaders(raw: readonly (string | Buffer)[]): readonly node.HeaderPair[] {
+  const pairs: node.HeaderPair[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    pairs.push([decode(raw[index]).toLowerCase(), decode(raw[index + 1])]);
+  }
+  return pairs;
+}
+
+function decode(text: string | Buffer): string {
+  return typeof text === 'string' ? text : text.toString('latin1');
+}
