--- a/packages/testkit/src/bin/backend.ts
+++ b/packages/testkit/src/bin/backend.ts
@@ -4,7 +4,7 @@
 // Runs a backend server as a process of its own: backend.js OPTIONS.json. Prints its addresses as one JSON line.
 const text = await fs.readFile(process.argv[2] ?? '', 'utf8');
 const server = new backend.BackendServer(backend.backendOptionsSchema.parse(JSON.parse(text)));
-const control = new backend.BackendControl(server);
+const control = backend.createBackendControl(server);
 const address = await server.open();
 process.stdout.write(`${JSON.stringify({ address, control: await control.open() })}\n`);
 process.once('SIGTERM', () => {
--- a/packages/testkit/src/connection/index.ts
+++ b/packages/testkit/src/connection/index.ts
@@ -1,2 +1,3 @@
+export * from './ControlServer.js';
 export * from './answerJson.js';
 export * from './openLoopback.js';
--- a/packages/testkit/src/process/backend/index.ts
+++ b/packages/testkit/src/process/backend/index.ts
@@ -1,3 +1,3 @@
-export * from './BackendControl.js';
+export * from './createBackendControl.js';
 export * from './backendOptions.js';
 export * from './BackendServer.js';
--- a/packages/testkit/src/process/platform/PlatformControl.ts
+++ b/packages/testkit/src/process/platform/PlatformControl.ts
@@ -1,4 +1,3 @@
-import * as http from 'node:http';
 import * as z from 'zod';
 import * as connection from '../../connection/index.js';
 import type { PlatformServer, PublishedList } from './PlatformServer.js';
@@ -25,48 +24,31 @@
 export class PlatformControl {
   readonly #platform: PlatformServer;
 
-  readonly #server: http.Server;
+  readonly #server: connection.ControlServer;
 
   #lagMs = 0;
 
   constructor(platform: PlatformServer) {
     this.#platform = platform;
-    this.#server = http.createServer((request, response) => {
-      void this.#serve(request, response);
+    this.#server = new connection.ControlServer({
+      '/bundle': (body) => platform.publishBundle(body),
+      '/vms': (body) => this.#publishList(listSchema.parse(JSON.parse(body))),
+      '/lag': (body) => {
+        this.#lagMs = lagSchema.parse(JSON.parse(body)).lagMs;
+      },
+      '/mode': (body) => this.#setModes(modeSchema.parse(JSON.parse(body))),
+      '/reader': (body) => this.#openReader(body),
+      '/counters': () => platform.snapshot(performance.now()),
     });
   }
 
   /** Opens the control port. */
   async open(): Promise<string> {
-    return connection.openLoopback(this.#server);
+    return this.#server.open();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    await connection.closeServer(this.#server);
-  }
-
-  async #serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const body = (await connection.collectBody(request)).toString();
-    const handlers: Record<string, () => unknown> = {
-      '/bundle': () => this.#platform.publishBundle(body),
-      '/vms': () => this.#publishList(listSchema.parse(JSON.parse(body))),
-      '/lag': () => {
-        this.#lagMs = lagSchema.parse(JSON.parse(body)).lagMs;
-      },
-      '/mode': () => this.#setModes(modeSchema.parse(JSON.parse(body))),
-      '/reader': () => this.#openReader(body),
-      '/counters': () => this.#platform.snapshot(performance.now()),
-    };
-    const handler = handlers[request.url ?? ''];
-    if (handler === undefined) {
-      connection.answerJson(response, 404, { error: `no control ${request.url}` });
-      return;
-    }
-    try {
-      connection.answerJson(response, 200, (await handler()) ?? {});
-    } catch (error) {
-      connection.answerJson(response, 400, { error: String(error) });
-    }
+    await this.#server[Symbol.asyncDispose]();
   }
 
   #setModes({ parts, mode }: z.infer<typeof modeSchema>): void {
