Log refusals and unknown outcomes with the id of the whole request

Operators could not join what two nodes said of one call. The line at the entry (debug) and the one at the node of the backend server (warn) carry the same root id; a test checks that, and that no line holds the key.

--- a/packages/core/src/request/calls/BackendRuns.ts
+++ b/packages/core/src/request/calls/BackendRuns.ts
@@ -6,6 +6,7 @@
 import { computeRetryAfter } from '../computeRetryAfter.js';
 import * as identity from '../identity/index.js';
 import { createRefusal, type Refusal, type RefusalReason } from '../refusals.js';
+import { createUnknownLog } from './createUnknownLog.js';
 import type { ExitCall } from './ExitCall.js';
 import type { ExitReplies } from './ExitReplies.js';
 import type { ExitTable } from './ExitTable.js';
@@ -266,6 +267,7 @@
     if (call.once !== undefined) {
       this.#services.once.recordUnknown(call.once.id);
     }
+    this.#services.outbox.add(createUnknownLog(call, reason));
     this.#end(call, createRefusal(reason), nowMs);
   }
 
--- a/packages/core/src/request/calls/EntryCloser.ts
+++ b/packages/core/src/request/calls/EntryCloser.ts
@@ -58,7 +58,9 @@
    */
   refuse(call: EntryCall, refusal: Refusal, headers: readonly HeaderPair[] = []): void {
     const isDoubtful = call.mayHaveRun && refusal.outcome === 'notRun';
-    this.refuseRequest(call.requestId, isDoubtful ? { ...refusal, outcome: 'unknown' } : refusal, [
+    const told: Refusal = isDoubtful ? { ...refusal, outcome: 'unknown' } : refusal;
+    this.#logRefusal(call, told);
+    this.refuseRequest(call.requestId, told, [
       ...headers,
       ['tanagerpond-root', call.context.rootId],
     ]);
@@ -117,6 +119,17 @@
     levels.forEach((level) => parent?.touched.add(level.service));
   }
 
+  #logRefusal({ context, parentCallId }: EntryCall, { reason, outcome }: Refusal): void {
+    const { rootId: root, workspace, route } = context;
+    this.#services.outbox.add({
+      kind: 'log',
+      level: 'debug',
+      part: parentCallId === undefined ? 'caller' : 'egress',
+      text: 'call was refused',
+      fields: { root, workspace, route, reason, outcome },
+    });
+  }
+
   #findParent(call: EntryCall): ExitCall | undefined {
     return call.parentCallId === undefined ? undefined : this.#exits.find(call.parentCallId);
   }
--- a/packages/core/test/process/node/sessions.test.ts
+++ b/packages/core/test/process/node/sessions.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import type { NodeCommand } from '../../../src/process/node/index.js';
 import { expectGolden } from '../../support/expectGolden.js';
 import { ALBA_KEY, buildTestBundle } from './buildTestBundle.js';
 import { describeStep } from './describeStep.js';
@@ -131,4 +132,20 @@
     ]);
     expect(crashes).to.equal(3);
   });
+
+  it('guards against log lines of one call that cannot be joined, or that hold its key', () => {
+    const logs: NodeCommand[] = [];
+    const fleet = new FakeFleet(SEED, buildTestBundle(), (_nowMs, _vm, _message, commands) => {
+      logs.push(...commands.filter(({ kind }) => kind === 'log'));
+    });
+    fleet.events.runUntil(START_MS);
+    logs.length = 0;
+    const headers = [['authorization', `Bearer ${ALBA_KEY}`]] as const;
+    fleet.request('deep-1', '/front/poison/a', 'GET', headers, () => undefined);
+    fleet.events.runUntil(START_MS + 500);
+    const roots = logs.map((log) => (log.kind === 'log' ? log.fields?.root : undefined));
+    expect(roots).to.have.length(2);
+    expect(new Set(roots).size).to.equal(1);
+    expect(JSON.stringify(logs)).not.to.include(ALBA_KEY);
+  });
 });
