Dial a VM again once the link to its leaving process broke

A VM that was stopped and restarted kept the leaving mark of its predecessor at every node that had no contact with the new process, and such nodes never dialled it. The mark now ends with the link of the process that set it.

--- a/packages/core/src/process/membership/Membership.ts
+++ b/packages/core/src/process/membership/Membership.ts
@@ -72,6 +72,18 @@
     this.#candidates.clear();
   }
 
+  /**
+   * Records that the link to a process broke. One that was leaving is gone then, so its mark must not keep this node from
+   * dialling the process that takes its place.
+   * @param vm - Name of the peer.
+   * @param incarnation - Incarnation at the other end of the link.
+   */
+  recordLinkLost(vm: string, incarnation: string): void {
+    if (this.#leaving.get(vm) === incarnation) {
+      this.clearLeaving(vm);
+    }
+  }
+
   /**
    * Records that a VM that announced its leaving takes work again, after a restart of its backend server.
    * @param vm - Name of the peer.
--- a/packages/core/src/process/node/NodeMachine.ts
+++ b/packages/core/src/process/node/NodeMachine.ts
@@ -202,6 +202,7 @@
   #handleLinkDown(message: Extract<NodeMessage, { kind: 'linkDown' }>, nowMs: number): void {
     const { peer, incarnation, inbound } = message;
     this.#links.recordDown(peer, incarnation, inbound);
+    this.#services.membership.recordLinkLost(peer, incarnation);
     if (inbound) {
       this.#exit.calls.recordPeerLost(peer, nowMs);
       return;
--- /dev/null
+++ b/packages/core/test/process/membership/Membership.test.ts
@@ -0,0 +1,43 @@
+import { expect } from 'chai';
+import { Membership } from '../../../src/process/membership/index.js';
+
+const SELF = { name: 'a-1', service: 'a', failureDomain: 'east', incarnation: 'i0' };
+
+function createMembership(): Membership {
+  const members = new Membership(SELF);
+  const vms = ['b-1', 'b-2'].map(
+    (name) =>
+      ({
+        name,
+        service: 'b',
+        failureDomain: 'east',
+        peerAddress: '127.0.0.1:1',
+        state: 'live',
+      }) as const,
+  );
+  members.replaceList(vms, 0);
+  members.markLeaving('b-1', 'i1');
+  return members;
+}
+
+function listCandidates(members: Membership): readonly string[] {
+  return members.findCandidates('b').map(({ name }) => name);
+}
+
+describe('Membership', () => {
+  it('guards against new work for a VM that announced its leaving while the list lags', () => {
+    expect(listCandidates(createMembership())).to.deep.equal(['b-2']);
+  });
+
+  it('guards against a restarted VM that is never dialled because its predecessor was leaving', () => {
+    const members = createMembership();
+    members.recordLinkLost('b-1', 'i1');
+    expect(listCandidates(members)).to.deep.equal(['b-1', 'b-2']);
+  });
+
+  it('guards against a late loss of an older link that ends the leaving of the present process', () => {
+    const members = createMembership();
+    members.recordLinkLost('b-1', 'i0');
+    expect(listCandidates(members)).to.deep.equal(['b-2']);
+  });
+});
