Dial a VM whose link broke lately before refusing a call for want of one

A dial that fails costs a redirect and runs nothing.

The router test that expected no choice at all when the only VM's link is down now expects that VM; that an unreachable VM is not chosen beside a reachable one is checked as before.

--- a/packages/core/src/process/routing/Router.ts
+++ b/packages/core/src/process/routing/Router.ts
@@ -51,9 +51,10 @@
    */
   choose(service: string, excluded: ReadonlySet<string>, nowMs: number): VmRecord | undefined {
     const all = this.#findCandidates(service, nowMs);
-    const reachable = all.filter(
-      ({ vm, statistics }) => !excluded.has(vm.name) && statistics.isLinkUsable(nowMs),
-    );
+    const allowed = all.filter(({ vm }) => !excluded.has(vm.name));
+    const linked = allowed.filter(({ statistics }) => statistics.isLinkUsable(nowMs));
+    // A link that broke lately is dialled all the same before a call is refused for want of a VM.
+    const reachable = linked.length > 0 ? linked : allowed;
     const kept = reachable.filter(({ statistics }) => !statistics.isEjected(nowMs));
     const usable = kept.length > 0 ? kept : reachable;
     const usualMs = computeUsualMs(all);
