--- a/packages/core/src/process/node/Departure.ts
+++ b/packages/core/src/process/node/Departure.ts
@@ -48,11 +48,6 @@
     return this.#drainSinceMs !== undefined || this.#backendDrains || this.#listedLeaving;
   }
 
-  /** Tells whether the process is about to stop. */
-  isDraining(): boolean {
-    return this.#drainSinceMs !== undefined;
-  }
-
   /**
    * Starts the planned stop of the process.
    * @param nowMs - Monotonic time, in milliseconds.
--- a/packages/core/src/process/node/createNodeServices.ts
+++ b/packages/core/src/process/node/createNodeServices.ts
@@ -21,7 +21,7 @@
 export interface NodeMachineOptions {
   readonly self: membership.VmIdentity;
   readonly random: RandomSource;
-  /** Public keys that may sign bundles, raw ed25519 in base64. */
+  /** Public keys that may sign bundles, ed25519, 43 base64url characters each. */
   readonly trustedKeys: readonly string[];
   /** Monotonic time of the start of the process, in milliseconds. */
   readonly startedMs: number;
--- a/packages/core/src/process/suspects/SuspectTable.ts
+++ b/packages/core/src/process/suspects/SuspectTable.ts
@@ -66,7 +66,7 @@
 
   /**
    * Finds what is known about a fingerprint.
-   * @param fingerprint - Once id, or route and body digest.
+   * @param fingerprint - Route, method, target and body digest.
    * @param nowMs - Monotonic time, in milliseconds.
    */
   findState(fingerprint: string, nowMs: number): SuspectState {
