--- /dev/null
+++ b/packages/bundle/src/request/HostRoutes.ts
@@ -0,0 +1,62 @@
+import type { Route } from '../version/routeSchema.js';
+import { splitTarget } from './findTargetFault.js';
+
+/** One service of a route and its part of the requests. */
+export interface RouteTarget {
+  readonly route: Route;
+  /** Part of the requests, relative to the other targets of the route. */
+  readonly weight: number;
+}
+
+/** A route that is selected by host and path prefix. */
+export interface HostRoute {
+  readonly host: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  /** At least one; more for a route whose requests are split between services. */
+  readonly targets: readonly RouteTarget[];
+}
+
+/** Routes by host, the longest path prefix first. */
+export class HostRoutes {
+  readonly #byHost = new Map<string, HostRoute[]>();
+
+  /** @param routes - Routes of one bundle. */
+  constructor(routes: Iterable<HostRoute>) {
+    [...routes].forEach((route) => {
+      const host = toHostKey(route.host);
+      this.#byHost.set(host, [...(this.#byHost.get(host) ?? []), route]);
+    });
+    this.#byHost.forEach((list) =>
+      list.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length),
+    );
+  }
+
+  /**
+   * Finds the route of a request and draws one of its services by their weights.
+   * @param host - Host header as received.
+   * @param target - Path and query as received.
+   * @param draw - Random number in [0, 1).
+   * @returns Undefined when no route matches.
+   */
+  match(host: string, target: string, draw: number): Route | undefined {
+    const { path } = splitTarget(target);
+    const routes = this.#byHost.get(toHostKey(host)) ?? [];
+    const found = routes.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+    return found === undefined ? undefined : pickTarget(found.targets, draw);
+  }
+}
+
+function toHostKey(host: string): string {
+  return host.toLowerCase().replace(/:\d+$/, '');
+}
+
+function pickTarget(targets: readonly RouteTarget[], draw: number): Route | undefined {
+  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+  let left = draw * total;
+  const picked = targets.find(({ weight }) => {
+    left -= weight;
+    return left < 0;
+  });
+  return (picked ?? targets.at(-1))?.route;
+}
--- a/packages/bundle/src/version/Bundle.ts
+++ b/packages/bundle/src/version/Bundle.ts
@@ -1,3 +1,4 @@
+import type { HostRoutes } from '../request/HostRoutes.js';
 import type { Fleet } from './fleetSchema.js';
 import type { Route } from './routeSchema.js';
 import type { Service } from './serviceSchema.js';
@@ -17,4 +18,6 @@
   readonly openWorkspace: string | undefined;
   readonly services: ReadonlyMap<string, Service>;
   readonly routes: ReadonlyMap<string, Route>;
+  /** Selects routes by host and path prefix; without it, the first path segment names the service. */
+  readonly hostRoutes?: HostRoutes;
 }
--- a/packages/bundle/src/version/fleetSchema.ts
+++ b/packages/bundle/src/version/fleetSchema.ts
@@ -2,8 +2,11 @@
 
 /** Settings of the whole fleet, section `[fleet]` of `fleet.ini`. Times are in milliseconds. */
 export const fleetSchema = z.strictObject({
-  /** Most VMs that may be live at once, replacements included (M of the share ledger). */
-  maxVms: z.int().min(1).max(100_000),
+  /**
+   * Most VMs that may be live at once, replacements included (M of the share ledger). Absent: the number of VMs that the
+   * list shows, so that two views of the list can overspend by their difference.
+   */
+  maxVms: z.int().min(1).max(100_000).optional(),
   /** Lease on which an owner lends its share to a holder. */
   shareLeaseMs: z.int().min(200).max(60_000),
   /** Extra attempts that one request may spend over its whole call tree. */
--- a/packages/bundle/src/version/routeSchema.ts
+++ b/packages/bundle/src/version/routeSchema.ts
@@ -3,6 +3,9 @@
 /** Lowest priority class; class 0 is the most important one. */
 export const LOWEST_PRIORITY_CLASS = 3;
 
+/** Largest request body or answer that a route may allow, in bytes. */
+export const LARGEST_BODY_BYTES = 64 * 1024 * 1024;
+
 /** One route, section `[route SERVICE.NAME]` of `routes.ini`. */
 export const routeSchema = z.strictObject({
   /** `service.name`, unique in the bundle. */
@@ -22,14 +25,12 @@
   /** Cost of one run in the fair queue, relative to 1. */
   cost: z.number().positive(),
   /** Largest request body and answer, in bytes. */
-  maxBody: z
-    .int()
-    .min(0)
-    .max(64 * 1024 * 1024),
-  maxAnswer: z
-    .int()
-    .min(0)
-    .max(64 * 1024 * 1024),
+  maxBody: z.int().min(0).max(LARGEST_BODY_BYTES),
+  maxAnswer: z.int().min(0).max(LARGEST_BODY_BYTES),
+  /** Longest time that a request may be kept waiting, whatever its caller asks for, in milliseconds. */
+  timeoutMs: z.int().min(1).optional(),
+  /** Most VMs that one request may be sent to. */
+  maxAttempts: z.int().min(1).optional(),
 });
 
 export type Route = Readonly<z.infer<typeof routeSchema>>;
--- a/packages/bundle/src/version/sections/sectionKinds.ts
+++ b/packages/bundle/src/version/sections/sectionKinds.ts
@@ -61,6 +61,7 @@
     weight: { field: 'weight', parse: parseNumber, fallback: 1 },
     'key-digests': { field: 'keyDigests', parse: parseList, fallback: [] },
     open: { field: 'open', parse: parseSwitch, fallback: false },
+    priority: { field: 'priority', parse: parseNumber, fallback: undefined },
   },
   schema: workspaceSchema,
 } as const satisfies SectionKind<z.infer<typeof workspaceSchema>>;
@@ -91,6 +92,8 @@
     cost: { field: 'cost', parse: parseNumber, fallback: 1 },
     'max-body': { field: 'maxBody', parse: parseSize, fallback: 64 * KIBIBYTE },
     'max-answer': { field: 'maxAnswer', parse: parseSize, fallback: 1_024 * KIBIBYTE },
+    timeout: { field: 'timeoutMs', parse: parseDuration, fallback: undefined },
+    'max-attempts': { field: 'maxAttempts', parse: parseNumber, fallback: undefined },
   },
   schema: routeSchema,
 } as const satisfies SectionKind<z.infer<typeof routeSchema>>;
--- a/packages/bundle/src/version/workspaceSchema.ts
+++ b/packages/bundle/src/version/workspaceSchema.ts
@@ -13,6 +13,10 @@
   keyDigests: z.array(z.string().regex(/^[0-9a-f]{64}$/)),
   /** Requests without a key on open routes count for this workspace; at most one workspace has it set. */
   open: z.boolean(),
+  /** Rank that goes before the priority of the route, 0 (highest) and up. Absent: the route alone decides. */
+  priority: z.int().min(0).optional(),
+  /** Requests of the workspace take no rate tokens. */
+  unmetered: z.boolean().optional(),
 });
 
 export type Workspace = Readonly<z.infer<typeof workspaceSchema>>;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,4 +8,5 @@
 export * as suspects from './process/suspects/index.js';
 export * as shares from './process/shares/index.js';
 export * as time from './process/time/index.js';
+export * as documents from './process/documents/index.js';
 export * as identity from './request/identity/index.js';
--- a/packages/core/src/process/admission/AdmissionQueue.ts
+++ b/packages/core/src/process/admission/AdmissionQueue.ts
@@ -11,7 +11,10 @@
   QueueLoad,
 } from './AdmissionItem.js';
 import { ClassQueues } from './ClassQueues.js';
+import type { AdmissionPolicy } from './AdmissionPolicy.js';
 import { ConcurrencyLimit } from './ConcurrencyLimit.js';
+import { DeclaredLimit } from './DeclaredLimit.js';
+import type { SlotLimit } from './SlotLimit.js';
 import { LevelEstimate } from './LevelEstimate.js';
 import { RunningCalls } from './RunningCalls.js';
 import { ServiceTime } from './ServiceTime.js';
@@ -29,6 +32,13 @@
 /** Shortest and longest mean time after which a refused caller may come back. */
 const RETRY_AFTER_MS = [50, 5000] as const;
 
+const DEFAULT_POLICY: AdmissionPolicy = { limit: 'adaptive', preempts: true };
+
+const LIMITS: Readonly<Record<AdmissionPolicy['limit'], (slots: number) => SlotLimit>> = {
+  adaptive: (slots) => new ConcurrencyLimit({ slots }),
+  declared: (slots) => new DeclaredLimit(slots),
+};
+
 /** Decides which call runs next on one backend server, and which is refused without running. */
 export class AdmissionQueue {
   readonly #random: RandomSource;
@@ -39,7 +49,9 @@
 
   readonly #serviceTime = new ServiceTime();
 
-  readonly #limit: ConcurrencyLimit;
+  readonly #limit: SlotLimit;
+
+  readonly #preempts: boolean;
 
   readonly #wait: WaitEstimate;
 
@@ -54,11 +66,18 @@
   #backendSinceMs = 0;
 
   /** @param options - Declared slots, calls that may wait, and the source of the jitter. */
-  constructor(options: { slots: number; queue: number; random: RandomSource }) {
+  constructor(options: {
+    slots: number;
+    queue: number;
+    random: RandomSource;
+    policy?: AdmissionPolicy;
+  }) {
     this.#random = options.random;
     this.#slots = options.slots;
     this.#capacity = options.queue;
-    this.#limit = new ConcurrencyLimit({ slots: options.slots });
+    const { limit, preempts } = options.policy ?? DEFAULT_POLICY;
+    this.#preempts = preempts;
+    this.#limit = LIMITS[limit](options.slots);
     this.#wait = new WaitEstimate({
       classes: this.#classes,
       running: this.#running,
@@ -261,7 +280,12 @@
 
   #preempt(nowMs: number): readonly AdmissionDecision[] {
     const next = this.#classes.findNext();
-    if (next === undefined || this.#backend !== 'up' || this.#running.hasSuspect()) {
+    if (
+      !this.#preempts ||
+      next === undefined ||
+      this.#backend !== 'up' ||
+      this.#running.hasSuspect()
+    ) {
       return [];
     }
     const isUrgent = nowMs - next.arrivedMs >= PREEMPT_WAIT_MS || this.#wait.isUrgent(next, nowMs);
--- a/packages/core/src/process/admission/ConcurrencyLimit.ts
+++ b/packages/core/src/process/admission/ConcurrencyLimit.ts
@@ -1,4 +1,4 @@
-import type { AdmissionEnd } from './AdmissionItem.js';
+import type { RunSample, SlotLimit } from './SlotLimit.js';
 
 /** Time between two changes of the limit, and the answers needed for one unless the longest time has passed. */
 const WINDOW_MS = 100;
@@ -34,7 +34,7 @@
 }
 
 /** Adaptive number of requests that run at once on a backend server. */
-export class ConcurrencyLimit {
+export class ConcurrencyLimit implements SlotLimit {
   #slots: number;
 
   #limit: number;
@@ -94,10 +94,7 @@
    * @param sample - How it ended, how long it ran, and the load at its end.
    * @param nowMs - Monotonic time, in milliseconds.
    */
-  record(
-    sample: { end: AdmissionEnd; latencyMs: number; inFlight: number; queued: number },
-    nowMs: number,
-  ): void {
+  record(sample: RunSample, nowMs: number): void {
     if (sample.end === 'cancelled') {
       return;
     }
--- a/packages/core/src/process/admission/WaitEstimate.ts
+++ b/packages/core/src/process/admission/WaitEstimate.ts
@@ -1,6 +1,6 @@
 import type { AdmissionItem } from './AdmissionItem.js';
 import type { ClassQueues } from './ClassQueues.js';
-import type { ConcurrencyLimit } from './ConcurrencyLimit.js';
+import type { SlotLimit } from './SlotLimit.js';
 import type { RunningCalls } from './RunningCalls.js';
 import type { ServiceTime } from './ServiceTime.js';
 
@@ -13,7 +13,7 @@
 
   readonly #running: RunningCalls;
 
-  readonly #limit: ConcurrencyLimit;
+  readonly #limit: SlotLimit;
 
   readonly #serviceTime: ServiceTime;
 
@@ -21,7 +21,7 @@
   constructor(parts: {
     classes: ClassQueues;
     running: RunningCalls;
-    limit: ConcurrencyLimit;
+    limit: SlotLimit;
     serviceTime: ServiceTime;
   }) {
     this.#classes = parts.classes;
--- /dev/null
+++ b/packages/core/src/process/documents/index.ts
@@ -0,0 +1,2 @@
+export * from './DocumentRelay.js';
+export type * from './PublishedDocument.js';
--- a/packages/core/src/process/membership/Membership.ts
+++ b/packages/core/src/process/membership/Membership.ts
@@ -93,6 +93,16 @@
     this.#candidates.clear();
   }
 
+  /** Names of the listed VMs, leaving ones included. */
+  listNames(): readonly string[] {
+    return [...this.#vms.keys()];
+  }
+
+  /** Number of listed VMs, leaving ones included. */
+  get size(): number {
+    return this.#vms.size;
+  }
+
   /**
    * Finds a VM of the list.
    * @param vm - Name of the VM.
--- a/packages/core/src/process/membership/VmRecord.ts
+++ b/packages/core/src/process/membership/VmRecord.ts
@@ -6,6 +6,8 @@
   /** `IP:port` of the peer listener of its node. */
   readonly peerAddress: string;
   readonly state: 'live' | 'leaving';
+  /** Requests that its backend server runs at once, where the list says so. */
+  readonly slots?: number;
 }
 
 /** The VM that a node runs on. */
--- a/packages/core/src/process/node/FrameDispatcher.ts
+++ b/packages/core/src/process/node/FrameDispatcher.ts
@@ -2,6 +2,7 @@
 import type * as calls from '../../request/calls/index.js';
 import { createRefusal, type Refusal } from '../../request/index.js';
 import type * as configuration from '../../version/configuration/index.js';
+import type * as documents from '../documents/index.js';
 import type * as shares from '../shares/index.js';
 import type { NodeServices } from './NodeServices.js';
 import type { FrameBody } from './Outbox.js';
@@ -19,6 +20,7 @@
   readonly services: NodeServices;
   readonly entry: calls.EntrySide;
   readonly exit: calls.ExitSide;
+  readonly documents: documents.DocumentRelay;
   readonly applyShares: (commands: readonly shares.ShareCommand[], nowMs: number) => void;
   readonly receiveConfiguration: (
     peer: string,
@@ -105,8 +107,13 @@
   }
 
   #createControlRules(): FrameRules {
-    const { services } = this.#parts;
+    const { services, documents: relay } = this.#parts;
     return {
+      documentRequest: {
+        direction: 'inbound',
+        handle: (value, { peer }, nowMs) => relay.answer(peer, value, nowMs),
+      },
+      document: { direction: 'outbound', handle: (value) => relay.receive(value) },
       shareRequest: {
         direction: 'inbound',
         handle: (_value, from, nowMs) => this.#share(from, nowMs),
--- a/packages/core/src/process/node/NodeCommand.ts
+++ b/packages/core/src/process/node/NodeCommand.ts
@@ -1,5 +1,6 @@
 import type { Frame } from '@tanagerpond/wire';
 import type { Refusal } from '../../request/index.js';
+import type { PublishedDocument } from '../documents/index.js';
 import type { HeaderPair } from './NodeMessage.js';
 
 /**
@@ -55,6 +56,8 @@
   | { readonly kind: 'keepBody'; readonly from: string; readonly to: string }
   | { readonly kind: 'readService' }
   | { readonly kind: 'watchService'; readonly enabled: boolean }
+  /** A peer sent a newer document than the source of this node did. */
+  | { readonly kind: 'documentReceived'; readonly document: PublishedDocument }
   /** Every call in flight is done after a drain; the process may exit. */
   | { readonly kind: 'drained' }
   | {
--- a/packages/core/src/process/node/NodeMachine.ts
+++ b/packages/core/src/process/node/NodeMachine.ts
@@ -1,6 +1,7 @@
 import type { Bundle } from '@tanagerpond/bundle';
 import * as calls from '../../request/calls/index.js';
 import * as configuration from '../../version/configuration/index.js';
+import * as documents from '../documents/index.js';
 import type * as membership from '../membership/index.js';
 import type * as shares from '../shares/index.js';
 import { BackendHealth } from './BackendHealth.js';
@@ -40,6 +41,8 @@
 
   readonly #exit: calls.ExitSide;
 
+  readonly #documents: documents.DocumentRelay;
+
   readonly #frames: FrameDispatcher;
 
   readonly #handlers: Handlers;
@@ -69,7 +72,12 @@
       trustedKeys: options.trustedKeys,
       startedMs: options.startedMs,
     });
+    this.#documents = new documents.DocumentRelay(
+      { outbox, random: options.random, listPeers: () => this.#listPeers(options.seeds ?? []) },
+      options.startedMs,
+    );
     this.#frames = new FrameDispatcher({
+      documents: this.#documents,
       services: this.#services,
       entry: this.#entry,
       exit: this.#exit,
@@ -93,6 +101,11 @@
     return this.#services.outbox.takeCommands();
   }
 
+  /** Tells whether the node serves: a configuration is in force and the node is not leaving. */
+  isServing(): boolean {
+    return this.#isReady() && !this.#departure.isLeaving();
+  }
+
   /** Reads the counters of the process. */
   readCounters(): Readonly<Record<string, number>> {
     return this.#services.counters.read();
@@ -112,6 +125,7 @@
       exitCalls: this.#exit.size,
       links: { outbound: this.#links.listOutbound(), inbound: this.#links.listInbound() },
       configuration: this.#configuration.snapshot(nowMs),
+      documents: this.#documents.snapshot(nowMs),
     };
   }
 
@@ -137,18 +151,29 @@
       },
       backendHealth: ({ state }, nowMs) => this.#handleHealth(state, nowMs),
       bundleAdopted: ({ bundle }, nowMs) => {
-        this.#isGivenBundle = true;
-        this.#adopt(bundle, nowMs);
+        if (bundle.version > (this.#bundle?.version ?? -1)) {
+          this.#isGivenBundle = true;
+          this.#adopt(bundle, nowMs);
+        }
       },
       envelopeRead: ({ envelope }, nowMs) =>
         this.#applyConfiguration(this.#configuration.offerEnvelope(envelope, nowMs), nowMs),
       serviceUnavailable: () => this.#services.counters.count('serviceUnavailable'),
       vmsListed: ({ vms }, nowMs) => this.#handleList(vms, nowMs),
+      documentRead: ({ document }) => this.#documents.recordRead(document),
+      sourceChanged: ({ reachable }, nowMs) => this.#documents.recordSource(reachable, nowMs),
       drainRequested: (_message, nowMs) => this.#departure.startDrain(nowMs),
       tick: (_message, nowMs) => this.#advance(nowMs),
     };
   }
 
+  /** Peers that may be asked for documents; seeds stand in while no peer is linked. */
+  #listPeers(seeds: readonly string[]): readonly string[] {
+    const linked = this.#links.listOutbound();
+    const known = linked.length > 0 ? linked : [...this.#services.membership.listNames(), ...seeds];
+    return known.filter((name) => name !== this.#services.self.name);
+  }
+
   #isReady(): boolean {
     return this.#isGivenBundle || this.#configuration.isReady();
   }
@@ -159,7 +184,10 @@
     this.#exit.runs.advance(nowMs);
     this.#entry.calls.advance(nowMs);
     this.#applyShares(this.#services.shares.advance(nowMs), nowMs);
-    this.#applyConfiguration(this.#configuration.advance(nowMs), nowMs);
+    if (!this.#isGivenBundle) {
+      this.#applyConfiguration(this.#configuration.advance(nowMs), nowMs);
+    }
+    this.#documents.advance(nowMs);
     table.advance(nowMs).forEach((bodyOf) => outbox.add({ kind: 'releaseBody', bodyOf }));
     this.#finishDrain(nowMs);
   }
@@ -235,15 +263,14 @@
   #handleList(vms: readonly membership.VmRecord[], nowMs: number): void {
     const { membership: members, self } = this.#services;
     members.replaceList(vms, nowMs);
+    this.#services.shares.applyMembership(nowMs);
+    this.#configureAdmission();
     this.#departure.recordListed(members.find(self.name)?.state === 'leaving');
   }
 
   #adopt(bundle: Bundle, nowMs: number): void {
     this.#bundle = bundle;
-    const service = bundle.services.get(this.#services.self.service);
-    if (service !== undefined) {
-      this.#services.admission.configure({ slots: service.slots, queue: service.queue });
-    }
+    this.#configureAdmission();
     this.#services.suspects.configure({ blockMs: bundle.fleet.poisonBlockMs });
     this.#services.shares.applyBundle(bundle, nowMs);
     this.#entry.calls.recheckKeys(bundle);
@@ -256,6 +283,16 @@
     });
   }
 
+  /** The list may declare slots for each VM, which go before those of the service. */
+  #configureAdmission(): void {
+    const { membership: members, self, admission } = this.#services;
+    const service = this.#bundle?.services.get(self.service);
+    const slots = members.find(self.name)?.slots ?? service?.slots;
+    if (service !== undefined && slots !== undefined) {
+      admission.configure({ slots, queue: service.queue });
+    }
+  }
+
   #applyShares(commands: readonly shares.ShareCommand[], nowMs: number): void {
     const { outbox } = this.#services;
     commands.forEach((command) => {
--- a/packages/core/src/process/node/NodeMessage.ts
+++ b/packages/core/src/process/node/NodeMessage.ts
@@ -1,5 +1,6 @@
 import type { Frame } from '@tanagerpond/wire';
 import type { Bundle } from '@tanagerpond/bundle';
+import type { PublishedDocument } from '../documents/index.js';
 import type { VmRecord } from '../membership/index.js';
 
 /** Header as name (lower case) and value, in the order of arrival. */
@@ -73,5 +74,8 @@
   | { readonly kind: 'envelopeRead'; readonly envelope: string }
   | { readonly kind: 'serviceUnavailable' }
   | { readonly kind: 'vmsListed'; readonly vms: readonly VmRecord[] }
+  /** The node's own source published a document, which peers may ask for. */
+  | { readonly kind: 'documentRead'; readonly document: PublishedDocument }
+  | { readonly kind: 'sourceChanged'; readonly reachable: boolean }
   | { readonly kind: 'drainRequested' }
   | { readonly kind: 'tick' };
--- a/packages/core/src/process/node/createNodeServices.ts
+++ b/packages/core/src/process/node/createNodeServices.ts
@@ -27,6 +27,10 @@
   readonly startedMs: number;
   /** Longest time that calls in flight get during a planned stop, in milliseconds. */
   readonly drainLimitMs: number;
+  /** Names of peers that are asked for documents while no list of VMs is known. */
+  readonly seeds?: readonly string[];
+  /** How many calls the backend server gets at once, and whether running work gives way; adaptive with preemption. */
+  readonly admission?: admission.AdmissionPolicy;
   /** Draws unguessable call tokens; random unless a test needs fixed ones. */
   readonly createToken?: () => string;
   /** Secret of the tickets; random unless a test needs a fixed one. */
@@ -52,7 +56,11 @@
     retryRatio: new routing.RetryRatio(),
     pressure: new pressure.PressureTable({ random }),
     shares: new shares.ShareLedger({ self, membership: members, random, startedMs }),
-    admission: new admission.AdmissionQueue({ ...INITIAL_LIMITS, random }),
+    admission: new admission.AdmissionQueue({
+      ...INITIAL_LIMITS,
+      random,
+      ...(options.admission === undefined ? {} : { policy: options.admission }),
+    }),
     suspects: new suspects.SuspectTable({ blockMs: POISON_BLOCK_MS }),
     once: new once.OnceTable(),
     tickets: new once.TicketIssuer(self, options.ticketSecret),
--- a/packages/core/src/process/shares/ShareLedger.ts
+++ b/packages/core/src/process/shares/ShareLedger.ts
@@ -39,6 +39,8 @@
 
   readonly #subleases = new SubleaseTable(this.#pool);
 
+  readonly #membership: membership.Membership;
+
   readonly #own: OwnShare;
 
   readonly #domain: DomainShares;
@@ -62,6 +64,7 @@
   /** @param options - Identity, membership view, random source and start time in milliseconds. */
   constructor({ self, membership: view, random, startedMs }: ShareLedgerOptions) {
     const ids = new LeaseIds(self.incarnation);
+    this.#membership = view;
     this.#own = new OwnShare(self.name, this.#pool);
     this.#domain = new DomainShares(this.#pool, ids);
     this.#ranking = new HolderRanking(self, view);
@@ -77,19 +80,29 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   applyBundle(bundle: Bundle, nowMs: number): void {
-    const { maxVms, shareLeaseMs } = bundle.fleet;
+    const { shareLeaseMs } = bundle.fleet;
     if (this.#bundle === undefined) {
       this.#lastMs = Math.max(this.#lastMs, nowMs);
     }
     const clockMs = this.#settle(nowMs);
     this.#bundle = bundle;
     this.#pool.configure(bundle.workspaces, clockMs);
-    this.#own.configure(1 / maxVms, shareLeaseMs, this.#startedMs, clockMs);
+    this.#configureOwn(bundle, clockMs);
     this.#domain.configure(shareLeaseMs);
     this.#borrower.configure(computeSubleaseMs(shareLeaseMs));
     this.#queue.configure(bundle.workspaces);
   }
 
+  /**
+   * Takes a new list of VMs, whose number counts when the bundle declares no maximum.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  applyMembership(nowMs: number): void {
+    if (this.#bundle !== undefined && this.#bundle.fleet.maxVms === undefined) {
+      this.#configureOwn(this.#bundle, this.#settle(nowMs));
+    }
+  }
+
   /**
    * Asks for one token.
    * @param workspace - Name of the workspace.
@@ -184,6 +197,12 @@
   }
 
   /** Ends what is over by the clock before anything is decided. Returns the time to decide with. */
+  /** Without a declared maximum, the rates are divided by the number of listed VMs. */
+  #configureOwn({ fleet }: Bundle, nowMs: number): void {
+    const shares = fleet.maxVms ?? Math.max(1, this.#membership.size);
+    this.#own.configure(1 / shares, fleet.shareLeaseMs, this.#startedMs, nowMs);
+  }
+
   #settle(nowMs: number): number {
     const clockMs = Math.max(nowMs, this.#lastMs);
     const gapMs = clockMs - this.#lastMs;
--- a/packages/core/src/request/CallContext.ts
+++ b/packages/core/src/request/CallContext.ts
@@ -14,4 +14,6 @@
   /** 1 for a caller's request. */
   readonly depth: number;
   readonly bundleVersion: number;
+  /** Service of the VM at which the call began. */
+  readonly originService: string;
 }
--- a/packages/core/src/request/calls/BackendRuns.ts
+++ b/packages/core/src/request/calls/BackendRuns.ts
@@ -173,6 +173,7 @@
         ['tanagerpond-call', call.token],
         ['tanagerpond-workspace', context.workspace],
         ['tanagerpond-priority', String(context.priority)],
+        ['tanagerpond-origin', context.originService],
         ['tanagerpond-root', context.rootId],
         ['tanagerpond-deadline-ms', String(remainingMs)],
       ],
--- a/packages/core/src/request/calls/EntryCalls.ts
+++ b/packages/core/src/request/calls/EntryCalls.ts
@@ -8,6 +8,7 @@
 import { admitCaller, type AdmittedRequest } from './admitCaller.js';
 import { admitEgress } from './admitEgress.js';
 import type { AttemptSender } from './AttemptSender.js';
+import { computePriorityClass } from './computePriorityClass.js';
 import { createEntryCall, type EntryPlace } from './createEntryCall.js';
 import type { EntryAttempts } from './EntryAttempts.js';
 import type { EntryCall } from './EntryCall.js';
@@ -58,7 +59,7 @@
       this.#refuseRequest(request, this.#createStartingRefusal());
       return;
     }
-    admitCaller(bundle, request).match({
+    admitCaller(bundle, request, this.#services.random.next()).match({
       Ok: (admitted) => this.#startCallerCall(bundle, request, admitted, nowMs),
       Err: (refusal) => this.#refuseRequest(request, refusal),
     });
@@ -179,14 +180,16 @@
         rootId,
         workspace: admitted.workspace,
         route: admitted.route.name,
-        priority: admitted.route.priority,
+        priority: computePriorityClass(bundle, admitted.route, admitted.workspace),
         deadlineMs: nowMs + admitted.remainingMs,
         allowance: bundle.fleet.extraAttempts,
         depth: 1,
         bundleVersion: bundle.version,
+        originService: this.#services.self.service,
       },
     });
-    const { priority, service } = admitted.route;
+    const { service } = admitted.route;
+    const { priority } = call.context;
     const verdict = this.#services.pressure.decide([service], priority, nowMs, admitted.workspace);
     if (!verdict.admitted) {
       const { retryAfterMs } = verdict;
@@ -202,7 +205,12 @@
   }
 
   #requestRate(call: EntryCall, nowMs: number): void {
-    const { shares } = this.#services;
+    const { shares, findBundle } = this.#services;
+    const workspace = findBundle()?.workspaces.get(call.context.workspace);
+    if (workspace?.unmetered === true) {
+      this.#parts.attempts.send(call, nowMs);
+      return;
+    }
     if (shares.request(call.context.workspace, call.requestId, nowMs) === 'granted') {
       this.#parts.attempts.send(call, nowMs);
       return;
@@ -226,6 +234,7 @@
         priority: Math.min(parent.context.priority, admitted.route.priority),
         allowance: granted,
         depth: parent.context.depth + 1,
+        originService: this.#services.self.service,
       },
     });
     if (!admitted.route.repeatable) {
--- a/packages/core/src/request/calls/ExitCalls.ts
+++ b/packages/core/src/request/calls/ExitCalls.ts
@@ -195,6 +195,7 @@
         allowance: context?.allowance ?? 0,
         depth: context?.depth ?? 1,
         bundleVersion: context?.bundleVersion ?? 0,
+        originService: context?.originService ?? '',
       },
       ...(accepted.once === undefined ? {} : { once: accepted.once }),
       fingerprint: accepted.fingerprint,
--- a/packages/core/src/request/calls/acceptOpenCall.ts
+++ b/packages/core/src/request/calls/acceptOpenCall.ts
@@ -1,5 +1,10 @@
 import type { OpenCall } from '@tanagerpond/wire';
-import type { Bundle, Route } from '@tanagerpond/bundle';
+import {
+  LARGEST_BODY_BYTES,
+  LOWEST_PRIORITY_CLASS,
+  type Bundle,
+  type Route,
+} from '@tanagerpond/bundle';
 import { Result } from 'true-myth';
 import type { HeaderPair } from '../../process/node/NodeMessage.js';
 import type { NodeServices } from '../../process/node/NodeServices.js';
@@ -8,6 +13,18 @@
 /** Margin over the longest deadline for which the record of a backend server's own call lasts, in milliseconds. */
 const OWN_RECORD_MARGIN_MS = 60_000;
 
+/** What holds for a route that this node does not know; limits are those that a route may have at most. */
+const UNKNOWN_ROUTE: Omit<Route, 'name' | 'service' | 'repeatable'> = {
+  method: 'GET',
+  path: '/',
+  priority: LOWEST_PRIORITY_CLASS,
+  open: false,
+  calls: [],
+  cost: 1,
+  maxBody: LARGEST_BODY_BYTES,
+  maxAnswer: LARGEST_BODY_BYTES,
+};
+
 /** Identity and digest under which a call runs at most once. */
 export interface OnceKey {
   readonly id: string;
@@ -37,7 +54,7 @@
   frame: OpenCall,
   nowMs: number,
 ): Result<AcceptedCall, Refusal> {
-  const route = bundle.routes.get(frame.context?.route ?? '');
+  const route = resolveRoute(bundle, frame);
   if (route === undefined) {
     return Result.err(
       createRefusal('routeUnknown', { detail: `bundle version ${bundle.version}` }),
@@ -58,6 +75,18 @@
   return readOnceKey(services, bundle, frame, digest, nowMs).map((once) => ({ ...accepted, once }));
 }
 
+/** The sender's bundle may be newer or older, so the route may be unknown here or lead to another service. */
+function resolveRoute(bundle: Bundle, frame: OpenCall): Route | undefined {
+  const { service, repeatable } = frame;
+  const known = bundle.routes.get(frame.context?.route ?? '');
+  const isSame = known?.service === service && known.repeatable === repeatable;
+  if (service === '' || isSame) {
+    return known;
+  }
+  const name = frame.context?.route ?? '';
+  return { ...UNKNOWN_ROUTE, ...known, name, service, repeatable };
+}
+
 function readOnceKey(
   services: NodeServices,
   bundle: Bundle,
--- a/packages/core/src/request/calls/admitCaller.ts
+++ b/packages/core/src/request/calls/admitCaller.ts
@@ -8,6 +8,19 @@
 
 const TICKET_HEADER = 'tanagerpond-ticket';
 
+/** Id of one attempt of a caller, from an edge whose callers give each attempt an id of its own. */
+const ATTEMPT_HEADER = 'tanagerpond-attempt';
+
+/** Host of the request, where the bundle selects routes by it. */
+const HOST_HEADER = 'tanagerpond-host';
+
+interface FoundRoute {
+  readonly route: Route;
+  readonly target: string;
+  /** Headers that the backend server gets besides the caller's. */
+  readonly headers: readonly HeaderPair[];
+}
+
 /** A caller's request after every check that needs only the bundle in force. */
 export interface AdmittedRequest {
   readonly route: Route;
@@ -25,17 +38,19 @@
  * Checks a caller's request against the bundle in force: route, key, exposed keys, sizes, deadline and ticket.
  * @param bundle - Bundle in force.
  * @param request - Request with its body assembled.
+ * @param draw - Random number in [0, 1) that chooses among the services of a split route.
  * @returns The request as it goes on, or the first refusal found.
  */
 export function admitCaller(
   bundle: Bundle,
   request: ArrivedRequest,
+  draw: number,
 ): Result<AdmittedRequest, Refusal> {
-  const matched = matchRoute(bundle, request.method, request.target);
+  const matched = findRoute(bundle, request, draw);
   if (matched === undefined) {
     return Result.err(createRefusal('routeUnknown'));
   }
-  const { route, backendTarget: target } = matched;
+  const { route, target, headers: added } = matched;
   const forwarded = identity.selectForwardedHeaders(request.headers);
   return identity.identifyWorkspace(bundle, request.headers, route).andThen((caller) =>
     checkContent(request, route, forwarded)
@@ -44,8 +59,8 @@
         readTicket(request, route).map((once) => ({
           route,
           target,
-          headers: forwarded,
-          remainingMs,
+          headers: [...forwarded, ...added],
+          remainingMs: Math.min(remainingMs, route.timeoutMs ?? remainingMs),
           ...caller,
           ...(once === undefined ? {} : { once }),
         })),
@@ -74,14 +89,39 @@
   return Result.ok(true as const);
 }
 
+function findRoute(
+  bundle: Bundle,
+  { method, target, headers }: ArrivedRequest,
+  draw: number,
+): FoundRoute | undefined {
+  if (bundle.hostRoutes === undefined) {
+    const matched = matchRoute(bundle, method, target);
+    return matched === undefined
+      ? undefined
+      : { route: matched.route, target: matched.backendTarget, headers: [] };
+  }
+  const host = identity.readHeader(headers, 'host');
+  const route =
+    host.kind === 'present' ? bundle.hostRoutes.match(host.value, target, draw) : undefined;
+  return host.kind !== 'present' || route === undefined
+    ? undefined
+    : { route, target, headers: [[HOST_HEADER, host.value]] };
+}
+
 function readTicket(
   request: ArrivedRequest,
   route: Route,
 ): Result<OnceIdentity | undefined, Refusal> {
   const header = identity.readHeader(request.headers, TICKET_HEADER);
-  if (route.repeatable || header.kind === 'absent') {
+  if (route.repeatable) {
     return Result.ok(undefined);
   }
+  if (header.kind === 'absent') {
+    const attempt = identity.readHeader(request.headers, ATTEMPT_HEADER);
+    return Result.ok(
+      attempt.kind === 'present' ? { kind: 'own', id: `caller ${attempt.value}` } : undefined,
+    );
+  }
   const parsed = header.kind === 'present' ? parseTicket(header.value) : undefined;
   if (header.kind === 'repeated' || parsed === undefined) {
     return Result.err(createRefusal('ticketInvalid', { detail: TICKET_HEADER }));
--- a/packages/core/src/request/calls/createAttemptFrame.ts
+++ b/packages/core/src/request/calls/createAttemptFrame.ts
@@ -27,6 +27,7 @@
       allowance: attempt.granted,
       depth: context.depth,
       bundleVersion: context.bundleVersion,
+      originService: context.originService,
     },
     method: call.method,
     target: call.target,
@@ -36,6 +37,8 @@
     onceId: call.once?.kind === 'own' ? call.once.id : '',
     ticket: call.once?.kind === 'ticket' ? call.once.text : '',
     targetIncarnation,
+    service: call.route.service,
+    repeatable: call.route.repeatable,
     refuseReason: call.pendingRefusal?.reason ?? '',
   });
 }
--- a/packages/core/src/request/calls/decideRetry.ts
+++ b/packages/core/src/request/calls/decideRetry.ts
@@ -38,8 +38,9 @@
   outcome: Outcome,
   nowMs: number,
 ): RetryDecision {
+  const isSpent = call.tried.size >= (call.route.maxAttempts ?? Number.POSITIVE_INFINITY);
   const bound = call.once?.kind === 'ticket' || call.pendingRefusal !== undefined;
-  if (bound || nowMs >= call.context.deadlineMs) {
+  if (bound || isSpent || nowMs >= call.context.deadlineMs) {
     return 'refuse';
   }
   if (outcome === 'notRun' && REDIRECT_REASONS.has(reason) && call.redirects < REDIRECT_LIMIT) {
--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -1,6 +1,7 @@
 import { performance } from 'node:perf_hooks';
 import { node } from '@tanagerpond/core';
 import { cac } from 'cac';
+import type { NodePorts } from '../ports/index.js';
 import { NodeProcess } from '../process/host/index.js';
 import { createLogger } from '../process/log/index.js';
 import { loadSettings } from '../process/settings/index.js';
@@ -15,9 +16,10 @@
 /**
  * Runs the command line of the node.
  * @param argv - Arguments, with the program and the script first.
+ * @param ports - Ports of a platform; the product's own ones by default.
  * @returns The exit code, once the process may end.
  */
-export async function runNode(argv: readonly string[]): Promise<number> {
+export async function runNode(argv: readonly string[], ports?: NodePorts): Promise<number> {
   const cli = cac('tanagerpond-node');
   cli.option('--settings <file>', 'Settings file (INI)');
   cli.option('--check', 'Check the settings and exit');
@@ -35,10 +37,10 @@
     process.stderr.write(`${loaded.error.message.replace(/^/gm, 'settings: ')}\n`);
     return EXIT_USAGE;
   }
-  return options.check === true ? 0 : runProcess(loaded.value);
+  return options.check === true ? 0 : runProcess(loaded.value, ports);
 }
 
-async function runProcess(settings: Settings): Promise<number> {
+async function runProcess(settings: Settings, ports?: NodePorts): Promise<number> {
   const log = createLogger({
     level: settings.log.level,
     stream: process.stderr,
@@ -47,13 +49,19 @@
   await using host = new NodeProcess({
     settings,
     log,
-    createDecisions: ({ self, startedMs }) =>
+    ...(ports === undefined ? {} : { ports }),
+    createDecisions: ({ self, startedMs, seeds }) =>
       new node.NodeMachine({
         self,
         startedMs,
         random: { next: () => Math.random() },
         trustedKeys: settings.trust.signingKeys,
         drainLimitMs: settings.drain.limitMs,
+        seeds,
+        admission: {
+          limit: settings.admission.limit,
+          preempts: settings.admission.preemption,
+        },
       }),
   });
   process.once('SIGTERM', () => host.drain());
--- /dev/null
+++ b/packages/node/src/ports/ownBackendDialect.ts
@@ -0,0 +1,35 @@
+import * as z from 'zod';
+import type { BackendDialect, BackendHealthState } from './BackendDialect.js';
+
+/** Header by which a backend server says that it shed a request without running it. */
+const SHED_HEADER = 'tanagerpond-shed';
+
+const SHED_NOT_RUN = 'not-run';
+
+const SHED_STATUS = 503;
+
+const healthSchema = z.object({ state: z.enum(['healthy', 'draining']) });
+
+/** The product's own interface towards backend servers. */
+export const OWN_BACKEND_DIALECT: BackendDialect = {
+  healthPath: '/health',
+  allowsUnframedAnswers: false,
+  writeRequest: (headers) => headers,
+  readAnswer: ({ status, headers }) => ({
+    foreign: false,
+    notRun:
+      status === SHED_STATUS &&
+      headers.some(([name, value]) => name === SHED_HEADER && value === SHED_NOT_RUN),
+    headers: headers.filter(([name]) => name !== SHED_HEADER),
+  }),
+  readHealth: (status, body) => (status === 200 ? readState(body) : 'unreachable'),
+};
+
+function readState(body: string): BackendHealthState {
+  try {
+    const parsed = healthSchema.safeParse(JSON.parse(body));
+    return parsed.success ? parsed.data.state : 'unreachable';
+  } catch {
+    return 'unreachable';
+  }
+}
--- a/packages/node/src/process/backend/BackendExchange.ts
+++ b/packages/node/src/process/backend/BackendExchange.ts
@@ -2,13 +2,9 @@
 import type { node } from '@tanagerpond/core';
 import type { Dispatcher } from 'undici';
 import { parseRawHeaders } from '../../request/parseRawHeaders.js';
+import type { AnswerMeaning, BackendDialect } from '../../ports/index.js';
 import type { BodyStore, Reservation } from '../bodies/index.js';
 
-/** Header by which a backend server says that it shed a request without running it. */
-const SHED_HEADER = 'tanagerpond-shed';
-
-const SHED_NOT_RUN = 'not-run';
-
 /** First status that is a final answer; lower ones are informational. */
 const FIRST_FINAL_STATUS = 200;
 
@@ -16,6 +12,9 @@
 export interface BackendExchangeOptions {
   readonly callId: string;
   readonly method: string;
+  /** Headers of the request as sent. */
+  readonly sent: readonly node.HeaderPair[];
+  readonly dialect: BackendDialect;
   readonly timeoutMs: number;
   /** Largest answer in bytes. */
   readonly maxAnswer: number;
@@ -40,7 +39,7 @@
 
   #status = 0;
 
-  #headers: readonly node.HeaderPair[] = [];
+  #meaning: AnswerMeaning = { foreign: false, notRun: false, headers: [] };
 
   #framed = false;
 
@@ -72,7 +71,15 @@
     }
     const raw = parseRawHeaders(controller.rawHeaders as readonly Buffer[]);
     this.#status = status;
-    this.#headers = identity.removeConnectionHeaders(raw);
+    this.#meaning = this.#options.dialect.readAnswer(
+      { status, headers: identity.removeConnectionHeaders(raw) },
+      this.#options.sent,
+    );
+    if (this.#meaning.foreign) {
+      this.#finish({ kind: 'broken' });
+      this.#abort();
+      return;
+    }
     this.#framed = raw.some(
       ([name, value]) =>
         name === 'content-length' || (name === 'transfer-encoding' && /chunked/i.test(value)),
@@ -109,20 +116,17 @@
     if (this.#done || reservation === undefined) {
       return;
     }
-    if (!this.#framed && this.#size > 0) {
+    if (!this.#framed && this.#size > 0 && !this.#options.dialect.allowsUnframedAnswers) {
       // An answer that ends with its connection cannot be told from a truncated one.
       this.#finish({ kind: 'broken' });
       return;
     }
     this.#reservation = undefined;
     store.add(callId, Buffer.concat(this.#chunks, this.#size), reservation);
-    const headers = this.#headers.filter(([name]) => name !== SHED_HEADER);
-    const shed = this.#headers.some(
-      ([name, value]) => name === SHED_HEADER && value === SHED_NOT_RUN,
-    );
+    const { headers, notRun } = this.#meaning;
     const status = this.#status;
     const bodySize = this.#size;
-    this.#finish({ kind: 'answered', status, headers, bodySize, shed: shed && status === 503 });
+    this.#finish({ kind: 'answered', status, headers, bodySize, shed: notRun });
   }
 
   onResponseError(): void {
--- a/packages/node/src/process/backend/BackendPool.ts
+++ b/packages/node/src/process/backend/BackendPool.ts
@@ -1,6 +1,7 @@
 import { identity } from '@tanagerpond/core';
 import type { node } from '@tanagerpond/core';
 import { Pool } from 'undici';
+import type { BackendDialect } from '../../ports/index.js';
 import type { BodyStore, HeldBody } from '../bodies/index.js';
 import type { Counters } from '../metrics/index.js';
 import { BackendExchange } from './BackendExchange.js';
@@ -12,6 +13,7 @@
   readonly connections: number;
   /** Time limit of a new connection, in milliseconds. */
   readonly connectLimitMs: number;
+  readonly dialect: BackendDialect;
   readonly store: BodyStore;
   readonly counters: Counters;
   readonly publish: (message: node.NodeMessage) => void;
@@ -50,10 +52,15 @@
    */
   call(call: BackendCall, body: HeldBody): void {
     const { callId, method, target, timeoutMs, maxAnswer } = call;
-    const { store, counters, publish } = this.#options;
+    const { store, counters, publish, dialect } = this.#options;
+    const headers = dialect.writeRequest(
+      identity.removeConnectionHeaders(call.headers).filter(([name]) => !REMOVED_HEADERS.has(name)),
+    );
     const exchange: BackendExchange = new BackendExchange({
       callId,
       method,
+      sent: headers,
+      dialect,
       timeoutMs,
       maxAnswer,
       store,
@@ -67,9 +74,6 @@
       },
     });
     this.#exchanges.set(callId, exchange);
-    const headers = identity
-      .removeConnectionHeaders(call.headers)
-      .filter(([name]) => !REMOVED_HEADERS.has(name));
     const content = body.bytes.length > 0 ? body.bytes : null;
     try {
       this.#pool.dispatch(
--- a/packages/node/src/process/backend/HealthPoller.ts
+++ b/packages/node/src/process/backend/HealthPoller.ts
@@ -1,18 +1,19 @@
 import type { node } from '@tanagerpond/core';
 import { Client } from 'undici';
-import * as z from 'zod';
+import type { BackendDialect, BackendHealthState } from '../../ports/index.js';
 
 /** Options of the poller. */
 export interface HealthPollerOptions {
   /** `IP:port` of the backend server. */
   readonly address: string;
+  readonly dialect: BackendDialect;
   readonly publish: (message: node.NodeMessage) => void;
+  /** `always` polls without pause; `afterFailure` polls from a failed exchange until the backend server is healthy. */
+  readonly mode: 'always' | 'afterFailure';
   /** Time between two polls, in milliseconds. */
   readonly intervalMs?: number;
 }
 
-type HealthState = Extract<node.NodeMessage, { kind: 'backendHealth' }>['state'];
-
 const POLL_MS = 500;
 
 /** Time limit of one poll, in milliseconds. */
@@ -21,8 +22,6 @@
 /** Largest answer of the health endpoint, in bytes. */
 const ANSWER_BYTES = 4096;
 
-const healthSchema = z.object({ state: z.enum(['healthy', 'draining']) });
-
 /** Asks the backend server for its health, on a connection of its own. */
 export class HealthPoller {
   readonly #options: HealthPollerOptions;
@@ -31,6 +30,8 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  #polling = false;
+
   #stopped = false;
 
   /** @param options - Address of the backend server and where its health goes. */
@@ -42,9 +43,19 @@
     });
   }
 
-  /** Begins to poll. */
+  /** Begins to poll, in the mode `always`. */
   start(): void {
-    void this.#poll();
+    if (this.#options.mode === 'always') {
+      this.check();
+    }
+  }
+
+  /** Polls until the backend server is healthy; no effect while polls are under way. */
+  check(): void {
+    if (!this.#polling && !this.#stopped) {
+      this.#polling = true;
+      void this.#poll();
+    }
   }
 
   /** Stops polling. */
@@ -60,20 +71,24 @@
       return;
     }
     this.#options.publish({ kind: 'backendHealth', state });
+    if (this.#options.mode === 'afterFailure' && state === 'healthy') {
+      this.#polling = false;
+      return;
+    }
     this.#timer = setTimeout(() => {
       void this.#poll();
     }, this.#options.intervalMs ?? POLL_MS);
   }
 
-  async #read(): Promise<HealthState> {
+  async #read(): Promise<BackendHealthState> {
+    const { dialect } = this.#options;
     try {
       const answer = await this.#client.request({
-        path: '/health',
+        path: dialect.healthPath,
         method: 'GET',
         signal: AbortSignal.timeout(ANSWER_LIMIT_MS),
       });
-      const parsed = healthSchema.safeParse(await answer.body.json());
-      return answer.statusCode === 200 && parsed.success ? parsed.data.state : 'unreachable';
+      return dialect.readHealth(answer.statusCode, await answer.body.text());
     } catch {
       return 'unreachable';
     }
--- a/packages/node/src/process/decisions/Decisions.ts
+++ b/packages/node/src/process/decisions/Decisions.ts
@@ -15,6 +15,9 @@
    */
   snapshot(nowMs: number): object;
 
+  /** Tells whether the node serves callers. */
+  isServing(): boolean;
+
   /** Reads the counters for the metrics. */
   readCounters(): Readonly<Record<string, number>>;
 }
--- a/packages/node/src/process/host/CommandDispatcher.ts
+++ b/packages/node/src/process/host/CommandDispatcher.ts
@@ -9,14 +9,14 @@
 import type { BodyStore, HeldBody } from '../bodies/index.js';
 import type { Log } from '../log/index.js';
 import type { Counters } from '../metrics/index.js';
-import type { PlatformReader } from '../platform/index.js';
+import type { StateSource } from '../../ports/index.js';
 
 /** Parts of the process that carry out commands. */
 export interface CommandTargets {
   readonly listeners: readonly RequestListener[];
   readonly links: PeerLinks;
   readonly backend: BackendPool;
-  readonly platform: PlatformReader;
+  readonly source: StateSource;
   readonly store: BodyStore;
   readonly counters: Counters;
   readonly log: Log;
@@ -38,7 +38,7 @@
 
   /** @param targets - Parts of the process. */
   constructor(targets: CommandTargets) {
-    const { backend, platform, store, log } = targets;
+    const { backend, source, store, log } = targets;
     this.#targets = targets;
     this.#handlers = {
       answerRequester: (command) => this.#answer(command),
@@ -50,8 +50,9 @@
       cancelBackend: ({ callId }) => backend.cancel(callId),
       releaseBody: ({ bodyOf }) => store.release(bodyOf),
       keepBody: ({ from, to }) => this.#checkKept(store.addAlias(from, to), 'keepBody'),
-      readService: () => platform.readService(),
-      watchService: ({ enabled }) => platform.watchService(enabled),
+      readService: () => source.readService(),
+      watchService: ({ enabled }) => source.watchService(enabled),
+      documentReceived: ({ document }) => source.acceptDocument(document),
       drained: () => targets.finishDrain(),
       log: ({ level, part, text, fields }) => log.write(level, part, text, fields),
     };
--- a/packages/node/src/process/host/NodeProcess.ts
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -8,15 +8,17 @@
   PeerLinks,
   PeerServer,
 } from '../../connection/index.js';
-import { RequestListener } from '../../request/index.js';
+import { OWN_BACKEND_DIALECT, OWN_EDGE_DIALECT } from '../../ports/index.js';
+import type { NodePorts, StateSource } from '../../ports/index.js';
+import { ReadinessListener, RequestListener } from '../../request/index.js';
 import { AdminListener, MetricsPage } from '../admin/index.js';
 import { BackendPool, HealthPoller } from '../backend/index.js';
 import { BodyStore } from '../bodies/index.js';
+import { createPlatformReader } from '../platform/index.js';
 import { DecisionTask } from '../decisions/index.js';
 import type { Decisions } from '../decisions/index.js';
 import type { Log } from '../log/index.js';
 import { Counters, Latency } from '../metrics/index.js';
-import { PlatformReader } from '../platform/index.js';
 import { formatAddress } from '../settings/index.js';
 import type { ListenAddress, Settings } from '../settings/index.js';
 import { CommandDispatcher } from './CommandDispatcher.js';
@@ -29,15 +31,28 @@
   readonly createDecisions: (start: {
     readonly self: membership.VmIdentity;
     readonly startedMs: number;
+    readonly seeds: readonly string[];
   }) => Decisions;
+  /** Ports of a platform; the product's own ones by default. */
+  readonly ports?: NodePorts;
 }
 
 /** Addresses in use, as `IP:port`. */
 export type NodeAddresses = Readonly<Record<'caller' | 'egress' | 'peer' | 'admin', string>>;
 
+/** The product's own interface towards callers, backend servers and its configuration service. */
+const OWN_PORTS: NodePorts = {
+  edge: OWN_EDGE_DIALECT,
+  backend: OWN_BACKEND_DIALECT,
+  createSource: createPlatformReader,
+};
+
 /** Bytes of an incarnation. */
 const INCARNATION_BYTES = 16;
 
+/** Results after which the health endpoint is asked. */
+const FAILED_EXCHANGES: ReadonlySet<node.BackendResult['kind']> = new Set(['notSent', 'broken']);
+
 /** Characters of the incarnation that make request ids of different processes different. */
 const ID_PREFIX_LENGTH = 12;
 
@@ -70,7 +85,11 @@
 
   readonly #health: HealthPoller;
 
-  readonly #platform: PlatformReader;
+  readonly #source: StateSource;
+
+  readonly #readiness: ReadinessListener;
+
+  readonly #ports: NodePorts;
 
   readonly #admin: AdminListener;
 
@@ -83,11 +102,17 @@
   /** @param options - Settings, log and decisions. */
   constructor(options: NodeProcessOptions) {
     this.#options = options;
+    this.#ports = options.ports ?? OWN_PORTS;
     const { settings, log } = options;
+    const { backend: dialect, createSource } = this.#ports;
     const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
     this.#self = { ...settings.vm, incarnation };
     this.#store = new BodyStore(settings.bodies.budget);
-    this.#decisions = options.createDecisions({ self: this.#self, startedMs: readNow() });
+    this.#decisions = options.createDecisions({
+      self: this.#self,
+      startedMs: readNow(),
+      seeds: settings.peers.seeds.map(({ host }) => host),
+    });
     const credentials = createCredentials(settings);
     const common = { store: this.#store, counters: this.#counters, log, now: readNow };
     const publish = (message: node.NodeMessage): void => this.#publish(message);
@@ -98,6 +123,7 @@
       buildHello: () => this.#buildHello(),
       connect: (peer, address) => connectPeer({ peer, address, credentials }),
     });
+    this.#links.replaceAddresses(this.#listSeeds());
     this.#server = new PeerServer(credentials, (transport) => this.#links.accept(transport));
     this.#listeners = {
       caller: this.#createListener('caller'),
@@ -110,21 +136,19 @@
       address: backend,
       connections: settings.backend.connections,
       connectLimitMs: settings.backend.connectTimeMs,
+      dialect,
     });
-    this.#health = new HealthPoller({ address: backend, publish });
-    this.#platform = new PlatformReader({
-      ...common,
-      publish,
-      address: formatAddress(settings.platform.address),
-      waitMs: settings.platform.waitMs,
-    });
+    const { health: mode } = settings.backend;
+    this.#health = new HealthPoller({ address: backend, dialect, publish, mode });
+    this.#source = createSource({ ...common, settings, publish });
+    this.#readiness = new ReadinessListener(() => this.#decisions.isServing());
     const dispatcher = new CommandDispatcher({
       ...common,
       publish,
       listeners: Object.values(this.#listeners),
       links: this.#links,
       backend: this.#backend,
-      platform: this.#platform,
+      source: this.#source,
       finishDrain: () => this.#drain.send(),
     });
     this.#task = new DecisionTask({
@@ -148,10 +172,13 @@
       egress: await openListener(this.#listeners.egress, listen.egress),
       admin: await openListener(this.#admin, listen.admin),
     };
+    if (listen.ready !== undefined) {
+      await openListener(this.#readiness, listen.ready);
+    }
     this.#links.start();
     this.#task.start();
     this.#health.start();
-    this.#platform.start();
+    this.#source.start();
     return addresses;
   }
 
@@ -179,18 +206,22 @@
     await this.#listeners.caller[Symbol.asyncDispose]();
     await this.#listeners.egress[Symbol.asyncDispose]();
     await this.#health[Symbol.asyncDispose]();
-    await this.#platform[Symbol.asyncDispose]();
+    await this.#source[Symbol.asyncDispose]();
     await this.#links[Symbol.asyncDispose]();
     await this.#server[Symbol.asyncDispose]();
     await this.#task[Symbol.asyncDispose]();
     await this.#backend[Symbol.asyncDispose]();
     await this.#admin[Symbol.asyncDispose]();
+    await this.#readiness[Symbol.asyncDispose]();
   }
 
   #publish(message: node.NodeMessage): void {
     if (message.kind === 'vmsListed') {
       this.#links.replaceAddresses(message.vms);
     }
+    if (message.kind === 'backendResult' && FAILED_EXCHANGES.has(message.result.kind)) {
+      this.#health.check();
+    }
     this.#task.publish(message);
   }
 
@@ -204,7 +235,9 @@
         headerLimitMs: requests.headerTimeMs,
         requestLimitMs: requests.requestTimeMs,
         connections: requests.connections,
+        keepAliveMs: requests.keepAliveMs,
       },
+      dialect: this.#ports.edge,
       store: this.#store,
       counters: this.#counters,
       latency: this.#latencies[part],
@@ -214,6 +247,18 @@
     });
   }
 
+  /** Seeds as far as the settings tell them; their service and failure domain are not known. */
+  #listSeeds(): readonly membership.VmRecord[] {
+    const { peers, listen } = this.#options.settings;
+    return peers.seeds.map(({ host }) => ({
+      name: host,
+      service: '',
+      failureDomain: '',
+      peerAddress: formatAddress({ host, port: listen.peer.port }),
+      state: 'live',
+    }));
+  }
+
   #createAdmin(): AdminListener {
     const page = new MetricsPage({
       readHostCounters: () => this.#counters.read(),
--- a/packages/node/src/process/platform/PlatformReader.ts
+++ b/packages/node/src/process/platform/PlatformReader.ts
@@ -1,5 +1,6 @@
 import type { membership, node } from '@tanagerpond/core';
 import * as z from 'zod';
+import type { StateSource } from '../../ports/index.js';
 import type { Log } from '../log/index.js';
 import type { Counters } from '../metrics/index.js';
 import { PlatformClient } from './PlatformClient.js';
@@ -43,7 +44,7 @@
 });
 
 /** Reads the configuration service and the VM list of the platform. */
-export class PlatformReader {
+export class PlatformReader implements StateSource {
   readonly #options: PlatformReaderOptions;
 
   readonly #client: PlatformClient;
@@ -111,6 +112,11 @@
     }
   }
 
+  /** Peers of this source exchange signed sections instead of documents. */
+  acceptDocument(): void {
+    this.#options.counters.count('documents_ignored');
+  }
+
   /** Ends all reads. */
   async [Symbol.asyncDispose](): Promise<void> {
     this.#vms.stop();
--- a/packages/node/src/process/platform/index.ts
+++ b/packages/node/src/process/platform/index.ts
@@ -1,1 +1,2 @@
+export { createPlatformReader } from './createPlatformReader.js';
 export { PlatformReader } from './PlatformReader.js';
--- a/packages/node/src/process/settings/parseSettings.ts
+++ b/packages/node/src/process/settings/parseSettings.ts
@@ -86,14 +86,18 @@
 }
 
 function checkRelations(file: string, settings: Settings): readonly SettingsFault[] {
-  const { bodies, tls, listen } = settings;
+  const { bodies, tls, listen, trust } = settings;
   const faults: SettingsFault[] = [];
   if (bodies.budget < 2 * bodies.maxBody) {
     const expected = 'at least twice max-body, for a request and its answer';
     faults.push({ file, section: 'bodies', key: 'budget', expected });
   }
-  if (tls.plainText && !isLoopback(listen.peer)) {
-    const expected = 'no, because the peer listener is not on loopback';
+  if (trust.signingKeys.length === 0 && !trust.unsigned) {
+    const expected = 'a key, unless unsigned is yes';
+    faults.push({ file, section: 'trust', key: 'signing-keys', expected });
+  }
+  if (tls.plainText && !tls.trustedNetwork && !isLoopback(listen.peer)) {
+    const expected = 'no, because the peer listener is not on loopback and trusted-network is no';
     faults.push({ file, section: 'tls', key: 'plain-text', expected });
   }
   if (!tls.plainText) {
--- a/packages/node/src/process/settings/settingsSchema.ts
+++ b/packages/node/src/process/settings/settingsSchema.ts
@@ -21,17 +21,27 @@
     egress: createAddress().refine(isLoopback, 'a loopback address as IP:port'),
     peer: createAddress(),
     admin: createAddress().refine(isLoopback, 'a loopback address as IP:port'),
+    ready: createAddress().optional(),
   }),
   backend: z.strictObject({
     address: createAddress(),
     connections: createInteger(1, 100_000).default(256),
     connectTimeMs: createInteger(10, 60_000).default(500),
+    health: z
+      .enum(['always', 'after-failure'], 'always or after-failure')
+      .default('always')
+      .transform((text) => (text === 'always' ? 'always' : 'afterFailure')),
   }),
   platform: z.strictObject({
     address: createAddress(),
     waitMs: createInteger(100, 300_000).default(30_000),
   }),
-  trust: z.strictObject({ signingKeys: createKeys() }),
+  trust: z.strictObject({ signingKeys: createKeys().default([]), unsigned: createSwitch() }),
+  peers: z.strictObject({ seeds: createAddressList().default([]) }),
+  admission: z.strictObject({
+    limit: z.enum(['adaptive', 'declared'], 'adaptive or declared').default('adaptive'),
+    preemption: createSwitch('yes'),
+  }),
   bodies: z.strictObject({
     maxBody: createInteger(1024, 64 * MEBIBYTE).default(16 * MEBIBYTE),
     budget: createInteger(MEBIBYTE, 1024 * MEBIBYTE).default(96 * MEBIBYTE),
@@ -41,16 +51,15 @@
     headerTimeMs: createInteger(100, 600_000).default(10_000),
     requestTimeMs: createInteger(100, 600_000).default(60_000),
     connections: createInteger(1, 100_000).default(4_096),
+    keepAliveMs: createInteger(0, 600_000).default(30_000),
   }),
   drain: z.strictObject({ limitMs: createInteger(0, 3_600_000).default(30_000) }),
   log: z.strictObject({
     level: z.enum(['debug', 'info', 'warn', 'error'], 'debug, info, warn or error').default('info'),
   }),
   tls: z.strictObject({
-    plainText: z
-      .enum(['yes', 'no'], 'yes or no')
-      .default('no')
-      .transform((text) => text === 'yes'),
+    plainText: createSwitch(),
+    trustedNetwork: createSwitch(),
     certificate: createPath().optional(),
     key: createPath().optional(),
     authorities: createPath().optional(),
@@ -60,7 +69,15 @@
 export type Settings = z.infer<typeof settingsSchema>;
 
 /** Sections that every settings file may leave out, because all their keys have defaults. */
-export const OPTIONAL_SECTIONS = ['bodies', 'requests', 'drain', 'log', 'tls'] as const;
+export const OPTIONAL_SECTIONS = [
+  'bodies',
+  'requests',
+  'drain',
+  'log',
+  'tls',
+  'peers',
+  'admission',
+] as const;
 
 /**
  * Tells whether an address is on loopback.
@@ -83,6 +100,22 @@
   return z.string(expected).regex(/^[A-Za-z0-9][A-Za-z0-9.-]{0,252}$/, expected);
 }
 
+function createSwitch(usual: 'yes' | 'no' = 'no') {
+  return z
+    .enum(['yes', 'no'], 'yes or no')
+    .default(usual)
+    .transform((text) => text === 'yes');
+}
+
+/** An empty text is an empty list, as a rendered template may give it. */
+function createAddressList() {
+  const expected = 'addresses as IP:port, separated by commas';
+  return z
+    .string(expected)
+    .transform((text) => text.split(',').filter((part) => part.trim() !== ''))
+    .pipe(z.array(createAddress()));
+}
+
 function createPath() {
   return z.string('the path of a PEM file').min(1, 'the path of a PEM file');
 }
--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -7,9 +7,10 @@
 import { identity, request } from '@tanagerpond/core';
 import type { node } from '@tanagerpond/core';
 import { Hono } from 'hono';
+import type { EdgeDialect } from '../ports/index.js';
 import type { BodyStore, HeldBody } from '../process/bodies/index.js';
 import type { Counters, Latency } from '../process/metrics/index.js';
-import { buildRefusalAnswer, OUTCOME_HEADER } from './buildRefusalAnswer.js';
+import { OUTCOME_HEADER } from './buildRefusalAnswer.js';
 import type { PlainAnswer } from './buildRefusalAnswer.js';
 import { discardBody } from './discardBody.js';
 import { hasKeyShape } from './hasKeyShape.js';
@@ -25,12 +26,15 @@
   readonly headerLimitMs: number;
   readonly requestLimitMs: number;
   readonly connections: number;
+  /** Idle time after which a kept-alive connection is closed, in milliseconds. */
+  readonly keepAliveMs: number;
 }
 
 /** Options of a listener; `now` gives monotonic milliseconds. */
 export interface RequestListenerOptions {
   readonly part: 'caller' | 'egress';
   readonly limits: RequestLimits;
+  readonly dialect: EdgeDialect;
   readonly store: BodyStore;
   readonly counters: Counters;
   readonly latency: Latency;
@@ -47,9 +51,6 @@
 /** Header by which a backend server names the call that an outgoing call belongs to. */
 const CALL_HEADER = 'tanagerpond-call';
 
-/** Idle time of a kept-alive connection, in milliseconds; above what usual clients keep, so that they close first. */
-const KEEP_ALIVE_MS = 30_000;
-
 /** Time between two checks of the header and request time limits, in milliseconds. */
 const CHECK_MS = 1_000;
 
@@ -90,7 +91,7 @@
         maxHeaderSize: options.limits.headerBytes,
         headersTimeout: options.limits.headerLimitMs,
         requestTimeout: options.limits.requestLimitMs,
-        keepAliveTimeout: KEEP_ALIVE_MS,
+        keepAliveTimeout: options.limits.keepAliveMs,
         connectionsCheckingInterval: CHECK_MS,
       },
       (incoming, outgoing) => {
@@ -148,7 +149,7 @@
     const headers = identity.removeConnectionHeaders(answer.headers);
     this.#send(requestId, pending, {
       status: answer.status,
-      headers: [...headers, outcome],
+      headers: this.#options.dialect.writeAnswer([...headers, outcome]),
       body: body.bytes,
     });
     return true;
@@ -171,7 +172,7 @@
       return false;
     }
     this.#options.counters.count(`${this.#options.part}_refused_${refusal.reason}`);
-    this.#send(requestId, pending, buildRefusalAnswer(refusal, headers));
+    this.#send(requestId, pending, this.#options.dialect.buildRefusal(refusal, headers));
     return true;
   }
 
@@ -211,7 +212,7 @@
   ): void {
     const { store, buildRequestId, publish, part } = this.#options;
     const requestId = buildRequestId();
-    const all = parseRawHeaders(incoming.rawHeaders);
+    const all = this.#options.dialect.readRequest(parseRawHeaders(incoming.rawHeaders));
     const arrived = {
       requestId,
       method: incoming.method ?? '',
@@ -252,7 +253,8 @@
         ? { detail: `largest body ${this.#options.limits.maxBody} bytes` }
         : { retryAfterMs: chooseRetryAfterMs() };
     await discardBody(incoming);
-    writeAnswer(outgoing, buildRefusalAnswer(request.createRefusal(reason, extra)), true);
+    const refusal = request.createRefusal(reason, extra);
+    writeAnswer(outgoing, this.#options.dialect.buildRefusal(refusal, []), true);
   }
 
   #send(requestId: string, pending: PendingRequest, answer: PlainAnswer): void {
@@ -265,7 +267,8 @@
   #refuseUnhandled(incoming: IncomingMessage, outgoing: ServerResponse): void {
     if (!this.#handled.has(incoming) && !outgoing.headersSent) {
       this.#options.counters.count(`${this.#options.part}_malformed`);
-      writeAnswer(outgoing, buildRefusalAnswer(request.createRefusal('requestMalformed')), true);
+      const refusal = request.createRefusal('requestMalformed');
+      writeAnswer(outgoing, this.#options.dialect.buildRefusal(refusal, []), true);
     }
   }
 
@@ -275,8 +278,9 @@
       socket.destroy();
       return;
     }
-    const answer = buildRefusalAnswer(
+    const answer = this.#options.dialect.buildRefusal(
       request.createRefusal('requestMalformed', { detail: error.code }),
+      [],
     );
     socket.end(renderAnswer(answer));
     setTimeout(() => socket.destroy(), LINGER_MS).unref();
--- a/packages/node/test/support/RelayDecisions.ts
+++ b/packages/node/test/support/RelayDecisions.ts
@@ -35,6 +35,10 @@
     }
   }
 
+  isServing(): boolean {
+    return this.messages.length > 0;
+  }
+
   snapshot(): object {
     return { messages: this.messages.length };
   }
