--- a/packages/core/src/process/node/createNodeServices.ts
+++ b/packages/core/src/process/node/createNodeServices.ts
@@ -31,6 +31,8 @@
   readonly seeds?: readonly string[];
   /** How many calls the backend server gets at once, and whether running work gives way; adaptive with preemption. */
   readonly admission?: admission.AdmissionPolicy;
+  /** Part by which the sum over the fleet may exceed the rate and burst of a workspace; 0 by default. */
+  readonly rateExcess?: number;
   /** Draws unguessable call tokens; random unless a test needs fixed ones. */
   readonly createToken?: () => string;
   /** Secret of the tickets; random unless a test needs a fixed one. */
@@ -55,7 +57,13 @@
     router: new routing.Router({ self, membership: members, random }),
     retryRatio: new routing.RetryRatio(),
     pressure: new pressure.PressureTable({ random }),
-    shares: new shares.ShareLedger({ self, membership: members, random, startedMs }),
+    shares: new shares.ShareLedger({
+      self,
+      membership: members,
+      random,
+      startedMs,
+      excess: options.rateExcess ?? 0,
+    }),
     admission: new admission.AdmissionQueue({
       ...INITIAL_LIMITS,
       random,
--- a/packages/core/src/process/shares/ShareLedger.ts
+++ b/packages/core/src/process/shares/ShareLedger.ts
@@ -1,4 +1,4 @@
-import type { Bundle } from '@tanagerpond/bundle';
+import type { Bundle, Workspace } from '@tanagerpond/bundle';
 import type * as wire from '@tanagerpond/wire';
 import type * as membership from '../membership/index.js';
 import type * as time from '../time/index.js';
@@ -27,6 +27,8 @@
   readonly random: time.RandomSource;
   /** Start of the process on its monotonic clock. No earlier run of the VM acts after it. */
   readonly startedMs: number;
+  /** Part by which the sum over the fleet may exceed rate and burst; 0 by default. */
+  readonly excess?: number;
 }
 
 /**
@@ -41,6 +43,8 @@
 
   readonly #membership: membership.Membership;
 
+  readonly #excess: number;
+
   readonly #own: OwnShare;
 
   readonly #domain: DomainShares;
@@ -62,7 +66,8 @@
   #released = false;
 
   /** @param options - Identity, membership view, random source and start time in milliseconds. */
-  constructor({ self, membership: view, random, startedMs }: ShareLedgerOptions) {
+  constructor({ self, membership: view, random, startedMs, excess = 0 }: ShareLedgerOptions) {
+    this.#excess = excess;
     const ids = new LeaseIds(self.incarnation);
     this.#membership = view;
     this.#own = new OwnShare(self.name, this.#pool);
@@ -86,11 +91,12 @@
     }
     const clockMs = this.#settle(nowMs);
     this.#bundle = bundle;
-    this.#pool.configure(bundle.workspaces, clockMs);
+    const workspaces = this.#listMetered(bundle);
+    this.#pool.configure(workspaces, clockMs);
     this.#configureOwn(bundle, clockMs);
     this.#domain.configure(shareLeaseMs);
     this.#borrower.configure(computeSubleaseMs(shareLeaseMs));
-    this.#queue.configure(bundle.workspaces);
+    this.#queue.configure(workspaces);
   }
 
   /**
@@ -197,6 +203,18 @@
   }
 
   /** Ends what is over by the clock before anything is decided. Returns the time to decide with. */
+  #listMetered({ workspaces }: Bundle): ReadonlyMap<string, Workspace> {
+    const factor = 1 + this.#excess;
+    return new Map(
+      [...workspaces]
+        .filter(([, { unmetered }]) => unmetered !== true)
+        .map(([name, workspace]) => [
+          name,
+          { ...workspace, rate: workspace.rate * factor, burst: workspace.burst * factor },
+        ]),
+    );
+  }
+
   /** Without a declared maximum, the rates are divided by the number of listed VMs. */
   #configureOwn({ fleet }: Bundle, nowMs: number): void {
     const shares = fleet.maxVms ?? Math.max(1, this.#membership.size);
--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -43,7 +43,7 @@
 async function runProcess(settings: Settings, ports?: NodePorts): Promise<number> {
   const log = createLogger({
     level: settings.log.level,
-    stream: process.stderr,
+    stream: process.stdout,
     now: () => performance.now(),
   });
   await using host = new NodeProcess({
@@ -58,6 +58,7 @@
         trustedKeys: settings.trust.signingKeys,
         drainLimitMs: settings.drain.limitMs,
         seeds,
+        rateExcess: settings.rates.excess,
         admission: {
           limit: settings.admission.limit,
           preempts: settings.admission.preemption,
--- a/packages/node/src/process/settings/settingsSchema.ts
+++ b/packages/node/src/process/settings/settingsSchema.ts
@@ -38,6 +38,7 @@
   }),
   trust: z.strictObject({ signingKeys: createKeys().default([]), unsigned: createSwitch() }),
   peers: z.strictObject({ seeds: createAddressList().default([]) }),
+  rates: z.strictObject({ excess: createFraction().default(0) }),
   admission: z.strictObject({
     limit: z.enum(['adaptive', 'declared'], 'adaptive or declared').default('adaptive'),
     preemption: createSwitch('yes'),
@@ -77,6 +78,7 @@
   'tls',
   'peers',
   'admission',
+  'rates',
 ] as const;
 
 /**
@@ -100,6 +102,14 @@
   return z.string(expected).regex(/^[A-Za-z0-9][A-Za-z0-9.-]{0,252}$/, expected);
 }
 
+function createFraction() {
+  const expected = 'a number from 0 to 1';
+  return z
+    .string(expected)
+    .regex(/^(0(\.\d{1,6})?|1(\.0{1,6})?)$/, expected)
+    .transform(Number);
+}
+
 function createSwitch(usual: 'yes' | 'no' = 'no') {
   return z
     .enum(['yes', 'no'], 'yes or no')
