--- a/packages/bundle/src/request/HostRoutes.ts
+++ b/packages/bundle/src/request/HostRoutes.ts
@@ -36,10 +36,10 @@
    * Finds the route of a request and draws one of its services by their weights.
    * @param host - Host header as received.
    * @param target - Path and query as received.
-   * @param draw - Random number in [0, 1).
+   * @param draw - Draws a random number in [0, 1).
    * @returns Undefined when no route matches.
    */
-  match(host: string, target: string, draw: number): Route | undefined {
+  match(host: string, target: string, draw: () => number): Route | undefined {
     const { path } = splitTarget(target);
     const routes = this.#byHost.get(toHostKey(host)) ?? [];
     const found = routes.find(({ pathPrefix }) => path.startsWith(pathPrefix));
@@ -51,9 +51,12 @@
   return host.toLowerCase().replace(/:\d+$/, '');
 }
 
-function pickTarget(targets: readonly RouteTarget[], draw: number): Route | undefined {
+function pickTarget(targets: readonly RouteTarget[], draw: () => number): Route | undefined {
+  if (targets.length <= 1) {
+    return targets[0]?.route;
+  }
   const total = targets.reduce((sum, { weight }) => sum + weight, 0);
-  let left = draw * total;
+  let left = draw() * total;
   const picked = targets.find(({ weight }) => {
     left -= weight;
     return left < 0;
--- a/packages/core/src/process/documents/DocumentRelay.ts
+++ b/packages/core/src/process/documents/DocumentRelay.ts
@@ -111,9 +111,8 @@
    */
   advance(nowMs: number): void {
     this.#requestHeard(nowMs);
-    const isSilent = !this.#isReachable || this.#documents.size === 0;
     const isDue = nowMs - this.#requestedMs >= REQUEST_MS;
-    if (!isSilent || !isDue || nowMs - this.#changedMs < SOURCE_SILENCE_MS) {
+    if (this.#isReachable || !isDue || nowMs - this.#changedMs < SOURCE_SILENCE_MS) {
       return;
     }
     this.#requestedMs = nowMs;
--- a/packages/core/src/process/node/NodeMachine.ts
+++ b/packages/core/src/process/node/NodeMachine.ts
@@ -51,6 +51,9 @@
 
   #isGivenBundle = false;
 
+  /** Peers exchange signed bundles; otherwise the source's documents are trusted as they are. */
+  readonly #isSigned: boolean;
+
   /** @param options - Identity, randomness and limits of the node. */
   constructor(options: NodeMachineOptions) {
     this.#services = createNodeServices(options, {
@@ -58,6 +61,7 @@
       findBundle: () => (this.#isReady() ? this.#bundle : undefined),
       isLeaving: () => this.#departure.isLeaving(),
     });
+    this.#isSigned = options.unsignedBundles !== true;
     const { outbox } = this.#services;
     this.#departure = new Departure(options.self, this.#links, outbox, options.drainLimitMs);
     const table = new calls.ExitTable();
@@ -184,7 +188,7 @@
     this.#exit.runs.advance(nowMs);
     this.#entry.calls.advance(nowMs);
     this.#applyShares(this.#services.shares.advance(nowMs), nowMs);
-    if (!this.#isGivenBundle) {
+    if (this.#isSigned) {
       this.#applyConfiguration(this.#configuration.advance(nowMs), nowMs);
     }
     this.#documents.advance(nowMs);
--- a/packages/core/src/process/node/createNodeServices.ts
+++ b/packages/core/src/process/node/createNodeServices.ts
@@ -23,6 +23,8 @@
   readonly random: RandomSource;
   /** Public keys that may sign bundles, ed25519, 43 base64url characters each. */
   readonly trustedKeys: readonly string[];
+  /** The source of the configuration is trusted and gives no signed bundles. */
+  readonly unsignedBundles?: boolean;
   /** Monotonic time of the start of the process, in milliseconds. */
   readonly startedMs: number;
   /** Longest time that calls in flight get during a planned stop, in milliseconds. */
--- a/packages/core/src/request/calls/EntryCalls.ts
+++ b/packages/core/src/request/calls/EntryCalls.ts
@@ -59,7 +59,7 @@
       this.#refuseRequest(request, this.#createStartingRefusal());
       return;
     }
-    admitCaller(bundle, request, this.#services.random.next()).match({
+    admitCaller(bundle, request, () => this.#services.random.next()).match({
       Ok: (admitted) => this.#startCallerCall(bundle, request, admitted, nowMs),
       Err: (refusal) => this.#refuseRequest(request, refusal),
     });
--- a/packages/core/src/request/calls/admitCaller.ts
+++ b/packages/core/src/request/calls/admitCaller.ts
@@ -38,13 +38,13 @@
  * Checks a caller's request against the bundle in force: route, key, exposed keys, sizes, deadline and ticket.
  * @param bundle - Bundle in force.
  * @param request - Request with its body assembled.
- * @param draw - Random number in [0, 1) that chooses among the services of a split route.
+ * @param draw - Draws a random number in [0, 1), which chooses among the services of a split route.
  * @returns The request as it goes on, or the first refusal found.
  */
 export function admitCaller(
   bundle: Bundle,
   request: ArrivedRequest,
-  draw: number,
+  draw: () => number,
 ): Result<AdmittedRequest, Refusal> {
   const matched = findRoute(bundle, request, draw);
   if (matched === undefined) {
@@ -92,7 +92,7 @@
 function findRoute(
   bundle: Bundle,
   { method, target, headers }: ArrivedRequest,
-  draw: number,
+  draw: () => number,
 ): FoundRoute | undefined {
   if (bundle.hostRoutes === undefined) {
     const matched = matchRoute(bundle, method, target);
--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -57,6 +57,7 @@
         random: { next: () => Math.random() },
         trustedKeys: settings.trust.signingKeys,
         drainLimitMs: settings.drain.limitMs,
+        unsignedBundles: settings.trust.unsigned,
         seeds,
         rateExcess: settings.rates.excess,
         admission: {
--- a/packages/node/src/process/settings/parseSettings.ts
+++ b/packages/node/src/process/settings/parseSettings.ts
@@ -97,7 +97,7 @@
     faults.push({ file, section: 'trust', key: 'signing-keys', expected });
   }
   if (tls.plainText && !tls.trustedNetwork && !isLoopback(listen.peer)) {
-    const expected = 'no, because the peer listener is not on loopback and trusted-network is no';
+    const expected = 'no, because the peer listener is not on loopback';
     faults.push({ file, section: 'tls', key: 'plain-text', expected });
   }
   if (!tls.plainText) {
--- a/packages/node/test/request/RequestListener.test.ts
+++ b/packages/node/test/request/RequestListener.test.ts
@@ -7,6 +7,7 @@
 import { request } from 'undici';
 import { BodyStore } from '../../src/process/bodies/index.js';
 import { Counters, Latency } from '../../src/process/metrics/index.js';
+import { OWN_EDGE_DIALECT } from '../../src/ports/index.js';
 import { RequestListener } from '../../src/request/index.js';
 import { waitFor } from '../support/waitFor.js';
 
@@ -30,6 +31,7 @@
     arrived = [];
     gone = [];
     listener = new RequestListener({
+      dialect: OWN_EDGE_DIALECT,
       part,
       limits: {
         maxBody: MAX_BODY,
@@ -37,6 +39,7 @@
         headerLimitMs: 300,
         requestLimitMs: 600,
         connections: 3,
+        keepAliveMs: 30_000,
       },
       store,
       counters: new Counters(),
