--- a/packages/node/src/process/settings/settingsSchema.ts
+++ b/packages/node/src/process/settings/settingsSchema.ts
@@ -117,12 +117,12 @@
     .transform((text) => text === 'yes');
 }
 
-/** An empty text is an empty list, as a rendered template may give it. */
+/** `none` and an empty text, which a rendered template may give, are empty lists. */
 function createAddressList() {
   const expected = 'addresses as IP:port, separated by commas';
   return z
     .string(expected)
-    .transform((text) => text.split(',').filter((part) => part.trim() !== ''))
+    .transform((text) => text.split(',').filter((part) => !['', 'none'].includes(part.trim())))
     .pipe(z.array(createAddress()));
 }
 
