--- a/packages/core/src/process/node/NodeServices.ts
+++ b/packages/core/src/process/node/NodeServices.ts
@@ -7,6 +7,7 @@
 import type { ShareLedger } from '../shares/index.js';
 import type { SuspectTable } from '../suspects/index.js';
 import type { RandomSource } from '../time/index.js';
+import type { Trees } from '../trees/index.js';
 import type { Counters } from './Counters.js';
 import type { Outbox } from './Outbox.js';
 
@@ -23,6 +24,8 @@
   readonly suspects: SuspectTable;
   readonly once: OnceTable;
   readonly tickets: TicketIssuer;
+  /** Absent where overload is told by the levels of services alone. */
+  readonly trees?: Trees;
   readonly outbox: Outbox;
   readonly counters: Counters;
   /** Draws an unguessable token. */
--- a/packages/core/src/process/node/createNodeServices.ts
+++ b/packages/core/src/process/node/createNodeServices.ts
@@ -7,6 +7,7 @@
 import * as shares from '../shares/index.js';
 import * as suspects from '../suspects/index.js';
 import type { RandomSource } from '../time/index.js';
+import * as trees from '../trees/index.js';
 import { Counters } from './Counters.js';
 import type { NodeServices } from './NodeServices.js';
 import { Outbox } from './Outbox.js';
@@ -33,6 +34,8 @@
   readonly seeds?: readonly string[];
   /** How many calls the backend server gets at once, and whether running work gives way; adaptive with preemption. */
   readonly admission?: admission.AdmissionPolicy;
+  /** `levels`: a service's own level sheds requests to it; `trees`: what whole call trees need sheds them. */
+  readonly overload?: 'levels' | 'trees';
   /** Part by which the sum over the fleet may exceed the rate and burst of a workspace; 0 by default. */
   readonly rateExcess?: number;
   /** Draws unguessable call tokens; random unless a test needs fixed ones. */
@@ -74,6 +77,7 @@
     suspects: new suspects.SuspectTable({ blockMs: POISON_BLOCK_MS }),
     once: new once.OnceTable(),
     tickets: new once.TicketIssuer(self, options.ticketSecret),
+    ...(options.overload === 'trees' ? { trees: new trees.Trees(self.service, random) } : {}),
     outbox: new Outbox(self.name),
     counters: new Counters(),
     createToken: options.createToken ?? createRandomToken,
--- /dev/null
+++ b/packages/core/src/process/trees/ServiceUtilization.ts
@@ -0,0 +1,56 @@
+/** Weight of a new sample: samples of about the last 20 answers count. */
+const SAMPLE_WEIGHT = 0.05;
+
+/** A service from which nothing was heard for this time counts as idle, in milliseconds. */
+const LIFE_MS = 1_500;
+
+/** Services of which the utilization is kept. */
+const SERVICES = 4_096;
+
+interface Reading {
+  utilization: number;
+  recordedMs: number;
+}
+
+/** How full each service is: calls that run or wait, relative to what it runs at once. More than 1 means a queue. */
+export class ServiceUtilization {
+  readonly #readings = new Map<string, Reading>();
+
+  /**
+   * Records a sample.
+   * @param service - Name of the service.
+   * @param utilization - Calls that run or wait over the limit of calls.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  record(service: string, utilization: number, nowMs: number): void {
+    const known = this.#readings.get(service);
+    if (known === undefined || nowMs - known.recordedMs > LIFE_MS) {
+      this.#readings.delete(service);
+      this.#readings.set(service, { utilization, recordedMs: nowMs });
+      this.#dropOldest();
+      return;
+    }
+    known.utilization += SAMPLE_WEIGHT * (utilization - known.utilization);
+    known.recordedMs = nowMs;
+  }
+
+  /**
+   * Reads the utilization of a service.
+   * @param service - Name of the service.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @returns Undefined when nothing was heard lately.
+   */
+  read(service: string, nowMs: number): number | undefined {
+    const known = this.#readings.get(service);
+    return known === undefined || nowMs - known.recordedMs > LIFE_MS
+      ? undefined
+      : known.utilization;
+  }
+
+  #dropOldest(): void {
+    const [oldest] = this.#readings.keys();
+    if (this.#readings.size > SERVICES) {
+      this.#readings.delete(oldest);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/process/trees/Trees.ts
@@ -0,0 +1,80 @@
+import type { RandomSource } from '../time/index.js';
+import { CallRatios } from './CallRatios.js';
+import { ServiceUtilization } from './ServiceUtilization.js';
+import { TreeAdmission } from './TreeAdmission.js';
+import { TreeProfiles, type ServiceDemand } from './TreeProfiles.js';
+import { TreeReports } from './TreeReports.js';
+
+/** Load of a backend server as its node tells it. */
+interface ToldLoad {
+  readonly inFlight: number;
+  readonly queued: number;
+  readonly limit: number;
+}
+
+/** Utilization that counts for a call that was turned away for want of room, whatever load was told with it. */
+const FULL_UTILIZATION = 1.5;
+
+/** What a node knows of call trees: their demand, the services that they need, and whether new ones may begin. */
+export class Trees {
+  readonly ratios = new CallRatios();
+
+  readonly reports: TreeReports;
+
+  readonly admission: TreeAdmission;
+
+  readonly #profiles = new TreeProfiles();
+
+  readonly #utilization = new ServiceUtilization();
+
+  /**
+   * @param service - Service of the own backend server.
+   * @param random - Source of choices.
+   */
+  constructor(service: string, random: RandomSource) {
+    const known = { profiles: this.#profiles, utilization: this.#utilization };
+    this.reports = new TreeReports({ ...known, ratios: this.ratios, service });
+    this.admission = new TreeAdmission({ ...known, random });
+  }
+
+  /**
+   * Learns from an answer.
+   * @param route - Route of the answered request.
+   * @param demands - Report that came with it; may be empty.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  recordAnswer(route: string, demands: readonly ServiceDemand[], nowMs: number): void {
+    if (demands.length === 0) {
+      return;
+    }
+    this.#profiles.record(route, demands);
+    demands.forEach(({ service, utilization }) => {
+      this.#utilization.record(service, utilization, nowMs);
+      this.admission.watch(service);
+    });
+  }
+
+  /**
+   * Learns from a refusal.
+   * @param service - Service that turned a call away.
+   * @param load - Load of the VM.
+   * @param isFull - The call was turned away for want of room.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  recordRefusal(service: string, load: ToldLoad | undefined, isFull: boolean, nowMs: number): void {
+    const told = load === undefined ? undefined : computeUtilization(load);
+    const utilization = isFull ? Math.max(FULL_UTILIZATION, told ?? 0) : told;
+    if (utilization !== undefined) {
+      this.#utilization.record(service, utilization, nowMs);
+      this.admission.watch(service);
+    }
+  }
+}
+
+/**
+ * Computes how full a backend server is.
+ * @param load - Its load.
+ */
+export function computeUtilization({ inFlight, queued, limit }: ToldLoad): number {
+  return (inFlight + queued) / Math.max(1, limit);
+}
--- /dev/null
+++ b/packages/core/src/process/trees/index.ts
@@ -0,0 +1,6 @@
+export * from './CallRatios.js';
+export * from './ServiceUtilization.js';
+export * from './TreeAdmission.js';
+export * from './TreeProfiles.js';
+export * from './TreeReports.js';
+export * from './Trees.js';
--- a/packages/core/src/request/calls/BackendRuns.ts
+++ b/packages/core/src/request/calls/BackendRuns.ts
@@ -163,6 +163,7 @@
     const { context } = call;
     const remainingMs = Math.max(1, Math.round(context.deadlineMs - nowMs));
     this.#services.counters.count('runs');
+    this.#services.trees?.ratios.recordStart(call.route.name);
     this.#services.outbox.add({
       kind: 'callBackend',
       callId: call.callId,
@@ -282,6 +283,9 @@
   }
 
   #remove(call: ExitCall, nowMs: number): void {
+    if (call.state === 'running') {
+      this.#services.trees?.ratios.recordEnd(call.route.name, nowMs - call.startedMs);
+    }
     this.#table.remove(call);
     const { outbox } = this.#services;
     outbox.add({ kind: 'releaseBody', bodyOf: call.bodyOf });
--- a/packages/core/src/request/calls/EntryAttempts.ts
+++ b/packages/core/src/request/calls/EntryAttempts.ts
@@ -21,6 +21,9 @@
   'buffersFull',
 ]);
 
+/** Refusals for want of room. */
+const FULL_REASONS: ReadonlySet<RefusalReason> = new Set(['overloaded', 'deadlineExpired']);
+
 /** Time after which a VM that could not be reached is worth another try, in milliseconds. */
 const UNREACHABLE_RETRY_MS = 1_000;
 
@@ -101,6 +104,7 @@
     router.recordOutcome(peer, { kind: 'answered', latencyMs, load: answer.load }, nowMs);
     retryRatio.recordSuccess(call.route.service, nowMs);
     pressure.record(answer.levels, nowMs);
+    this.#services.trees?.recordAnswer(call.route.name, answer.demands, nowMs);
     this.#closer.recordTouched(call, answer.levels);
     call.allowance.settleChild(attempt.granted, answer.unspentAllowance);
     this.#closer.answer(call, answer);
@@ -122,6 +126,12 @@
     const kind = describeOutcome(refusal);
     const latencyMs = nowMs - attempt.sentMs;
     this.#services.router.recordOutcome(peer, { kind, latencyMs, load: refused.load }, nowMs);
+    this.#services.trees?.recordRefusal(
+      call.route.service,
+      refused.load,
+      FULL_REASONS.has(refusal.reason),
+      nowMs,
+    );
     this.#services.pressure.record(refused.levels, nowMs);
     this.#closer.recordTouched(call, refused.levels);
     call.allowance.settleChild(attempt.granted, refused.unspentAllowance);
--- a/packages/core/src/request/calls/EntryCalls.ts
+++ b/packages/core/src/request/calls/EntryCalls.ts
@@ -162,6 +162,7 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   advance(nowMs: number): void {
+    this.#services.trees?.admission.advance(nowMs);
     this.#parts.table
       .list()
       .filter((call) => nowMs >= call.context.deadlineMs)
@@ -190,7 +191,13 @@
     });
     const { service } = admitted.route;
     const { priority } = call.context;
-    const verdict = this.#services.pressure.decide([service], priority, nowMs, admitted.workspace);
+    const { trees, pressure } = this.#services;
+    if (admitted.route.open && admitted.keyDigest === undefined) {
+      trees?.ratios.recordCall(admitted.route.name);
+    }
+    const verdict =
+      trees?.admission.decide(admitted.route.name, priority, nowMs) ??
+      pressure.decide([service], priority, nowMs, admitted.workspace);
     if (!verdict.admitted) {
       const { retryAfterMs } = verdict;
       const refusal = createRefusal('overloaded', { retryAfterMs, detail: verdict.service });
@@ -240,6 +247,7 @@
     if (!admitted.route.repeatable) {
       call.once = { kind: 'own', id: this.#parts.sender.createId() };
     }
+    this.#services.trees?.ratios.recordCall(admitted.route.name);
     parent.children.add(call.requestId);
     parent.touched.add(admitted.route.service);
     this.#parts.attempts.send(call, nowMs);
--- a/packages/core/src/request/calls/ExitReplies.ts
+++ b/packages/core/src/request/calls/ExitReplies.ts
@@ -1,5 +1,12 @@
 import { create } from '@bufbuild/protobuf';
-import { AnswerSchema, RefusedSchema, type AdmissionLevel as LevelFrame } from '@tanagerpond/wire';
+import {
+  AnswerSchema,
+  RefusedSchema,
+  ServiceDemandSchema,
+  type AdmissionLevel as LevelFrame,
+  type ServiceDemand as ServiceDemandFrame,
+} from '@tanagerpond/wire';
+import { computeUtilization } from '../../process/trees/index.js';
 import { createLevelFrame } from './createLevelFrame.js';
 import type { HeaderPair } from '../../process/node/NodeMessage.js';
 import type { NodeServices } from '../../process/node/NodeServices.js';
@@ -48,6 +55,7 @@
       unspentAllowance: call?.allowance.remaining ?? 0,
       load: this.#services.admission.readLoad(),
       levels: this.#listLevels(call, nowMs),
+      demands: this.#listDemands(address, call, nowMs),
     });
     const bodyOf = answer.bodySize > 0 ? answer.bodyOf : undefined;
     this.#services.outbox.sendReply(address.peer, { case: 'answer', value }, bodyOf);
@@ -85,8 +93,26 @@
     this.#services.outbox.sendReply(address.peer, { case: 'refused', value });
   }
 
+  #listDemands(
+    { peer }: ReplyAddress,
+    call: ExitCall | undefined,
+    nowMs: number,
+  ): ServiceDemandFrame[] {
+    const { trees, admission } = this.#services;
+    if (trees === undefined || call === undefined) {
+      return [];
+    }
+    const utilization = computeUtilization(admission.readLoad());
+    return trees.reports
+      .create(peer, call.route.name, utilization, nowMs)
+      .map((demand) => create(ServiceDemandSchema, demand));
+  }
+
   #listLevels(call: ExitCall | undefined, nowMs: number): LevelFrame[] {
-    const { admission, pressure, self } = this.#services;
+    const { admission, pressure, self, trees } = this.#services;
+    if (trees !== undefined) {
+      return [];
+    }
     const own = { service: self.service, ...admission.readLevel(nowMs) };
     const touched = call?.touched;
     const deeper =
--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -59,6 +59,7 @@
         drainLimitMs: settings.drain.limitMs,
         unsignedBundles: settings.trust.unsigned,
         seeds,
+        overload: settings.admission.overload,
         rateExcess: settings.rates.excess,
         admission: {
           limit: settings.admission.limit,
--- a/packages/node/src/process/settings/settingsSchema.ts
+++ b/packages/node/src/process/settings/settingsSchema.ts
@@ -42,6 +42,7 @@
   admission: z.strictObject({
     limit: z.enum(['adaptive', 'declared'], 'adaptive or declared').default('adaptive'),
     preemption: createSwitch('yes'),
+    overload: z.enum(['levels', 'trees'], 'levels or trees').default('levels'),
   }),
   bodies: z.strictObject({
     maxBody: createInteger(1024, 64 * MEBIBYTE).default(16 * MEBIBYTE),
