--- a/packages/core/src/process/admission/AdmissionQueue.ts
+++ b/packages/core/src/process/admission/AdmissionQueue.ts
@@ -32,7 +32,7 @@
 /** Shortest and longest mean time after which a refused caller may come back. */
 const RETRY_AFTER_MS = [50, 5000] as const;
 
-const DEFAULT_POLICY: AdmissionPolicy = { limit: 'adaptive', preempts: true };
+const DEFAULT_POLICY: AdmissionPolicy = { limit: 'adaptive', order: 'arrival', preempts: true };
 
 const LIMITS: Readonly<Record<AdmissionPolicy['limit'], (slots: number) => SlotLimit>> = {
   adaptive: (slots) => new ConcurrencyLimit({ slots }),
@@ -43,7 +43,7 @@
 export class AdmissionQueue {
   readonly #random: RandomSource;
 
-  readonly #classes = new ClassQueues();
+  readonly #classes: ClassQueues;
 
   readonly #running = new RunningCalls();
 
@@ -75,7 +75,8 @@
     this.#random = options.random;
     this.#slots = options.slots;
     this.#capacity = options.queue;
-    const { limit, preempts } = options.policy ?? DEFAULT_POLICY;
+    const { limit, preempts, order } = options.policy ?? DEFAULT_POLICY;
+    this.#classes = new ClassQueues(order);
     this.#preempts = preempts;
     this.#limit = LIMITS[limit](options.slots);
     this.#wait = new WaitEstimate({
@@ -83,6 +84,7 @@
       running: this.#running,
       limit: this.#limit,
       serviceTime: this.#serviceTime,
+      isNewestFirst: order === 'newest',
     });
   }
 
@@ -245,15 +247,15 @@
   }
 
   #dropLowest(count: number, nowMs: number): readonly AdmissionDecision[] {
-    return Array.from({ length: count }, () => this.#classes.dropLowest())
+    return Array.from({ length: count }, () => this.#classes.dropLowest(nowMs))
       .filter((item) => item !== undefined)
       .map((item) => this.#refuse(item, 'overloaded', nowMs));
   }
 
   #dispatch(nowMs: number): readonly AdmissionDecision[] {
     const decisions: AdmissionDecision[] = [];
-    while (this.#canStart()) {
-      const item = this.#classes.take();
+    while (this.#canStart(nowMs)) {
+      const item = this.#classes.take(nowMs);
       if (item !== undefined) {
         decisions.push(this.#startOrRefuse(item, nowMs));
       }
@@ -261,12 +263,12 @@
     return [...decisions, ...this.#preempt(nowMs)];
   }
 
-  #canStart(): boolean {
+  #canStart(nowMs: number): boolean {
     const isFull = this.#running.size >= this.#limit.read();
     if (this.#backend !== 'up' || isFull || this.#running.hasSuspect()) {
       return false;
     }
-    const next = this.#classes.findNext();
+    const next = this.#classes.findNext(nowMs);
     return next !== undefined && (!next.suspect || this.#running.size === 0);
   }
 
@@ -279,7 +281,7 @@
   }
 
   #preempt(nowMs: number): readonly AdmissionDecision[] {
-    const next = this.#classes.findNext();
+    const next = this.#classes.findNext(nowMs);
     if (
       !this.#preempts ||
       next === undefined ||
--- a/packages/core/src/process/admission/ClassQueues.ts
+++ b/packages/core/src/process/admission/ClassQueues.ts
@@ -1,4 +1,5 @@
 import type { AdmissionItem } from './AdmissionItem.js';
+import type { AdmissionPolicy } from './AdmissionPolicy.js';
 import { FairQueue } from './FairQueue.js';
 
 /** Priority classes. */
@@ -9,7 +10,12 @@
 
 /** Waiting calls in strict order of the priority classes, with a fair queue in each class. */
 export class ClassQueues {
-  readonly #queues = Array.from({ length: CLASSES }, () => new FairQueue());
+  readonly #queues: readonly FairQueue[];
+
+  /** @param order - Order of the calls of one workspace. */
+  constructor(order: AdmissionPolicy['order'] = 'arrival') {
+    this.#queues = Array.from({ length: CLASSES }, () => new FairQueue(order));
+  }
 
   /** Number of waiting calls. */
   get size(): number {
@@ -25,18 +31,18 @@
   }
 
   /** Finds the call that `take` would return. */
-  findNext(): AdmissionItem | undefined {
-    return this.#queues.find((queue) => queue.size > 0)?.findNext();
+  findNext(nowMs: number): AdmissionItem | undefined {
+    return this.#queues.find((queue) => queue.size > 0)?.findNext(nowMs);
   }
 
   /** Takes the call that runs next. */
-  take(): AdmissionItem | undefined {
-    return this.#queues.find((queue) => queue.size > 0)?.take();
+  take(nowMs: number): AdmissionItem | undefined {
+    return this.#queues.find((queue) => queue.size > 0)?.take(nowMs);
   }
 
   /** Drops a call of the lowest class, from the workspace that is furthest over its share. */
-  dropLowest(): AdmissionItem | undefined {
-    return this.#findLowest()?.dropOverShare();
+  dropLowest(nowMs: number): AdmissionItem | undefined {
+    return this.#findLowest()?.dropOverShare(nowMs);
   }
 
   /**
--- a/packages/core/src/process/admission/FairQueue.ts
+++ b/packages/core/src/process/admission/FairQueue.ts
@@ -1,3 +1,4 @@
+import type { AdmissionPolicy } from './AdmissionPolicy.js';
 import type { AdmissionItem } from './AdmissionItem.js';
 
 interface Line {
@@ -9,20 +10,31 @@
   startTag: number;
 }
 
+/** A call that waits for longer shows a standing queue and not a short burst, in milliseconds. */
+const STANDING_MS = 30;
+
 /** Workspaces without waiting items whose tags are kept, so that a short pause earns no credit. */
 const IDLE_LINES = 1024;
 
 /**
  * Weighted fair queue over workspaces (start-time fair queueing): a workspace that is served runs up virtual time by
- * cost / weight, and the workspace with the least virtual time goes first.
+ * cost / weight, and the workspace with the least virtual time goes first. Within a workspace, the order may turn to the
+ * newest call first while a queue stands (adaptive LIFO; B. Maurer, "Fail at Scale", ACM Queue 13(8), 2015).
  */
 export class FairQueue {
   readonly #lines = new Map<string, Line>();
 
+  readonly #order: AdmissionPolicy['order'];
+
   #virtualTime = 0;
 
   #size = 0;
 
+  /** @param order - Order of the calls of one workspace. */
+  constructor(order: AdmissionPolicy['order'] = 'arrival') {
+    this.#order = order;
+  }
+
   /** Number of waiting items. */
   get size(): number {
     return this.#size;
@@ -44,14 +56,16 @@
   }
 
   /** Finds the item that `take` would return. */
-  findNext(): AdmissionItem | undefined {
-    return this.#findNextLine()?.items[0];
+  findNext(nowMs: number): AdmissionItem | undefined {
+    const items = this.#findNextLine()?.items ?? [];
+    return this.#isNewestFirst(items, nowMs) ? items.at(-1) : items[0];
   }
 
   /** Takes the next item in fair order. */
-  take(): AdmissionItem | undefined {
+  take(nowMs: number): AdmissionItem | undefined {
     const line = this.#findNextLine();
-    const item = line?.items.shift();
+    const isNewestFirst = this.#isNewestFirst(line?.items ?? [], nowMs);
+    const item = isNewestFirst ? line?.items.pop() : line?.items.shift();
     if (line === undefined || item === undefined) {
       return undefined;
     }
@@ -63,9 +77,10 @@
   }
 
   /** Drops the youngest item of the workspace whose waiting cost is furthest over its weight. */
-  dropOverShare(): AdmissionItem | undefined {
+  dropOverShare(nowMs: number): AdmissionItem | undefined {
     const line = this.#findLargestLine();
-    const item = line?.items.pop();
+    const isNewestFirst = this.#isNewestFirst(line?.items ?? [], nowMs);
+    const item = isNewestFirst ? line?.items.shift() : line?.items.pop();
     if (line === undefined || item === undefined) {
       return undefined;
     }
@@ -142,6 +157,13 @@
     };
   }
 
+  /** Whether the calls of a line run from the newest on: the order is `newest` and the oldest waits for long. */
+  #isNewestFirst(items: readonly AdmissionItem[], nowMs: number): boolean {
+    const [oldest] = items;
+    const isStanding = oldest !== undefined && nowMs - oldest.arrivedMs > STANDING_MS;
+    return this.#order === 'newest' && isStanding;
+  }
+
   #resolveLine(item: AdmissionItem): Line {
     const known = this.#lines.get(item.workspace);
     if (known !== undefined) {
--- a/packages/core/src/process/admission/WaitEstimate.ts
+++ b/packages/core/src/process/admission/WaitEstimate.ts
@@ -17,17 +17,21 @@
 
   readonly #serviceTime: ServiceTime;
 
+  readonly #isNewestFirst: boolean;
+
   /** @param parts - State of the admission queue; only read here. */
   constructor(parts: {
     classes: ClassQueues;
     running: RunningCalls;
     limit: SlotLimit;
     serviceTime: ServiceTime;
+    isNewestFirst: boolean;
   }) {
     this.#classes = parts.classes;
     this.#running = parts.running;
     this.#limit = parts.limit;
     this.#serviceTime = parts.serviceTime;
+    this.#isNewestFirst = parts.isNewestFirst;
   }
 
   /**
@@ -51,7 +55,12 @@
     if (this.isLate(item, nowMs)) {
       return true;
     }
-    if (this.#classes.hasLower(item.priority) || this.#running.size < this.#limit.read()) {
+    // With the newest call first, a call does not wait for those before it.
+    if (
+      this.#isNewestFirst ||
+      this.#classes.hasLower(item.priority) ||
+      this.#running.size < this.#limit.read()
+    ) {
       return false;
     }
     const unitMs = this.#serviceTime.readUnit(nowMs) / this.#limit.read();
--- a/packages/core/src/process/trees/TreeAdmission.ts
+++ b/packages/core/src/process/trees/TreeAdmission.ts
@@ -3,18 +3,23 @@
 import type { TreeProfiles } from './TreeProfiles.js';
 
 /** Utilization that the entry nodes steer a service to; the rest covers random arrivals without a long queue. */
-const TARGET = 0.9;
+const TARGET = 1;
 
 /** Time between two steps of the control, in milliseconds; below the time of a whole tree. */
 const STEP_MS = 100;
 
 /** Change of the shed level in one step at a utilization of twice the target, and the largest deviation that counts. */
-const GAIN = 0.12;
+const GAIN = 0.08;
 const LARGEST_ERROR = 1;
 
-/** Lowest and highest class that can be shed; class 0 holds calls of trees that already run. */
+/**
+ * The change is scaled by the part of the class that is still admitted, because a small part changes relatively more;
+ * this is the smallest scale.
+ */
+const SMALLEST_SCALE = 0.15;
+
+/** Lowest class, the first that is shed. */
 const LOWEST_CLASS = 3;
-const HIGHEST_SHED_CLASS = 1;
 
 /** Part of a class that is always admitted, so that its recovery is seen. */
 const PROBE_PART = 0.03;
@@ -59,22 +64,18 @@
   /**
    * Decides whether a caller's request may begin.
    * @param route - Route of the request.
-   * @param priority - Its class; 0 is always admitted.
+   * @param priority - Its class, 0 to 3.
    * @param nowMs - Monotonic time, in milliseconds.
    */
   decide(route: string, priority: number, nowMs: number): TreeDecision {
     this.advance(nowMs);
-    const worst = this.#findWorst(route);
-    if (priority < HIGHEST_SHED_CLASS || worst === undefined) {
-      return { admitted: true };
-    }
-    const part = computeAdmittedPart(worst.level, priority);
-    if (part >= 1 || this.#random.next() < part) {
+    const narrowest = this.#findNarrowest(route, priority);
+    if (narrowest === undefined || this.#random.next() < narrowest.part) {
       return { admitted: true };
     }
     const [shortestMs, longestMs] = RETRY_AFTER_MS;
     const retryAfterMs = Math.round(shortestMs + (longestMs - shortestMs) * this.#random.next());
-    return { admitted: false, service: worst.service, retryAfterMs };
+    return { admitted: false, service: narrowest.service, retryAfterMs };
   }
 
   /**
@@ -108,7 +109,8 @@
     // A service that nothing is heard of is found again by letting more requests through.
     const utilization = this.#utilization.read(service, nowMs) ?? 0;
     const error = Math.min(LARGEST_ERROR, (utilization - TARGET) / TARGET);
-    const next = Math.max(0, Math.min(LOWEST_CLASS, level + GAIN * error));
+    const change = GAIN * error * Math.max(SMALLEST_SCALE, 1 - (level % 1));
+    const next = Math.max(0, Math.min(LOWEST_CLASS, level + change));
     if (next === 0 && utilization === 0) {
       this.#levels.delete(service);
       return;
@@ -116,17 +118,34 @@
     this.#levels.set(service, next);
   }
 
-  #findWorst(route: string): { service: string; level: number } | undefined {
-    return [...this.#profiles.list(route).keys()]
-      .map((service) => ({ service, level: this.#levels.get(service) ?? 0 }))
-      .reduce<{ service: string; level: number } | undefined>(
-        (worst, one) => (worst === undefined || one.level > worst.level ? one : worst),
+  /** Finds the service that admits the smallest part of the route's requests. */
+  #findNarrowest(route: string, priority: number): { service: string; part: number } | undefined {
+    return [...this.#profiles.list(route)]
+      .filter(([service]) => (this.#levels.get(service) ?? 0) > 0)
+      .map(([service, calls]) => {
+        const cost = calls / Math.max(calls, this.#profiles.readLargest(service));
+        return {
+          service,
+          part: computeAdmittedPart(this.#levels.get(service) ?? 0, priority, cost),
+        };
+      })
+      .reduce<{ service: string; part: number } | undefined>(
+        (narrowest, one) =>
+          narrowest === undefined || one.part < narrowest.part ? one : narrowest,
         undefined,
       );
   }
 }
 
-function computeAdmittedPart(level: number, priority: number): number {
-  const shed = level - (LOWEST_CLASS - priority);
+/**
+ * Computes which part of a route's requests is admitted. Within a class, requests are shed in proportion to what they
+ * need at the service, so that the same room serves more of them. A class is shed whole before the one above it.
+ * @param level - Shed level of the service.
+ * @param priority - Class of the requests.
+ * @param cost - What one request needs there, relative to the route that needs most, at most 1.
+ */
+function computeAdmittedPart(level: number, priority: number, cost: number): number {
+  const ownLevel = level - (LOWEST_CLASS - priority);
+  const shed = Math.max(ownLevel * cost, ownLevel - 1);
   return Math.max(PROBE_PART, Math.min(1, 1 - shed));
 }
--- a/packages/core/src/process/trees/TreeProfiles.ts
+++ b/packages/core/src/process/trees/TreeProfiles.ts
@@ -10,6 +10,9 @@
 /** Weight of a new profile in what is known of a route. */
 const SAMPLE_WEIGHT = 0.1;
 
+/** What is kept of the largest demand at each record. */
+const LARGEST_KEPT = 0.999;
+
 /** Routes of which profiles are kept. */
 const ROUTES = 4_096;
 
@@ -23,6 +26,8 @@
 export class TreeProfiles {
   readonly #routes = new Map<string, Map<string, number>>();
 
+  readonly #largest = new Map<string, number>();
+
   /**
    * Learns from an answer.
    * @param route - Route of the answered request.
@@ -41,6 +46,7 @@
     });
     this.#routes.delete(route);
     this.#routes.set(route, known);
+    known.forEach((calls, service) => this.#recordLargest(service, calls));
     const [oldest] = this.#routes.keys();
     if (this.#routes.size > ROUTES) {
       this.#routes.delete(oldest);
@@ -55,6 +61,14 @@
     return this.#routes.get(route) ?? new Map<string, number>();
   }
 
+  /**
+   * Reads the most calls of a service that a request of any known route needs.
+   * @param service - Name of the service.
+   */
+  readLargest(service: string): number {
+    return this.#largest.get(service) ?? 0;
+  }
+
   /**
    * Computes the demand of a route that runs on the own backend server from the calls that its runs make.
    * @param service - Service of the own backend server.
@@ -72,4 +86,10 @@
       .sort(([, left], [, right]) => right - left);
     return new Map(largest.slice(0, SERVICES));
   }
+
+  /** The largest demand is forgotten slowly, since the route that had it may be gone. */
+  #recordLargest(service: string, calls: number): void {
+    const before = this.#largest.get(service) ?? 0;
+    this.#largest.set(service, Math.max(calls, before * LARGEST_KEPT));
+  }
 }
--- a/packages/core/src/request/calls/EntryCalls.ts
+++ b/packages/core/src/request/calls/EntryCalls.ts
@@ -2,6 +2,7 @@
 import type { Refused } from '@tanagerpond/wire';
 import type { Result } from 'true-myth';
 import type { ArrivedRequest } from '../../process/node/NodeMessage.js';
+import type * as pressure from '../../process/pressure/index.js';
 import type { NodeServices } from '../../process/node/NodeServices.js';
 import { computeRetryAfter } from '../computeRetryAfter.js';
 import { createRefusal, type Refusal, type RefusalReason } from '../refusals.js';
@@ -189,15 +190,7 @@
         originService: this.#services.self.service,
       },
     });
-    const { service } = admitted.route;
-    const { priority } = call.context;
-    const { trees, pressure } = this.#services;
-    if (admitted.route.open && admitted.keyDigest === undefined) {
-      trees?.ratios.recordCall(admitted.route.name);
-    }
-    const verdict =
-      trees?.admission.decide(admitted.route.name, priority, nowMs) ??
-      pressure.decide([service], priority, nowMs, admitted.workspace);
+    const verdict = this.#decide(call, admitted, nowMs);
     if (!verdict.admitted) {
       const { retryAfterMs } = verdict;
       const refusal = createRefusal('overloaded', { retryAfterMs, detail: verdict.service });
@@ -211,6 +204,21 @@
     this.#requestRate(call, nowMs);
   }
 
+  /** Outgoing calls of backend servers that name no parent belong to trees that were admitted before. */
+  #decide(call: EntryCall, admitted: AdmittedRequest, nowMs: number): pressure.PressureDecision {
+    const { trees, pressure: table } = this.#services;
+    const { route, workspace, keyDigest } = admitted;
+    const { priority } = call.context;
+    if (trees === undefined) {
+      return table.decide([route.service], priority, nowMs, workspace);
+    }
+    if (!route.open || keyDigest !== undefined) {
+      return trees.admission.decide(route.name, priority, nowMs);
+    }
+    trees.ratios.recordCall(route.name);
+    return { admitted: true };
+  }
+
   #requestRate(call: EntryCall, nowMs: number): void {
     const { shares, findBundle } = this.#services;
     const workspace = findBundle()?.workspaces.get(call.context.workspace);
--- a/packages/core/test/process/admission/FairQueue.test.ts
+++ b/packages/core/test/process/admission/FairQueue.test.ts
@@ -12,7 +12,7 @@
 function countTaken(queue: FairQueue, takes: number): Record<string, number> {
   const counts: Record<string, number> = {};
   for (let take = 0; take < takes; take++) {
-    const item = queue.take();
+    const item = queue.take(0);
     if (item !== undefined) {
       counts[item.workspace] = (counts[item.workspace] ?? 0) + item.cost;
     }
@@ -46,7 +46,7 @@
     addMany(queue, 'paying', 30, { weight: 10 });
     addMany(queue, 'loud', 10);
     addMany(queue, 'quiet', 2);
-    const dropped = Array.from({ length: 8 }, () => queue.dropOverShare()?.callId);
+    const dropped = Array.from({ length: 8 }, () => queue.dropOverShare(0)?.callId);
     expect(dropped.slice(0, 7)).to.deep.equal([9, 8, 7, 6, 5, 4, 3].map((n) => `loud${n}`));
   });
 
@@ -67,8 +67,8 @@
           }
           const gone = {
             add: () => [],
-            take: () => [queue.take()],
-            drop: () => [queue.dropOverShare()],
+            take: () => [queue.take(0)],
+            drop: () => [queue.dropOverShare(0)],
             remove: () => queue.removeWhere((item) => item.workspace === workspace),
           }[kind]();
           gone.forEach((item) => {
--- /dev/null
+++ b/packages/core/test/process/trees/TreeLoad.ts
@@ -0,0 +1,170 @@
+import { Trees } from '../../../src/process/trees/index.js';
+import { EventHeap } from '../../support/EventHeap.js';
+import { SeededSource } from '../../support/SeededSource.js';
+
+/** Load on a call tree whose narrow place is its deepest service. */
+export interface TreeLoadOptions {
+  /** Demand of browsing and booking, relative to what the leaf can carry. */
+  readonly demand: number;
+  readonly admits: boolean;
+  readonly lengthMs: number;
+  readonly seed: number;
+}
+
+/** What callers got, by route. */
+export type TreeOutcome = Record<
+  'browse' | 'book',
+  { asked: number; served: number; refused: number }
+>;
+
+/** The tree of the users' Ferreyra deployment: leaf calls of one request, its own work and its timeout. */
+const ROUTES = {
+  browse: { leafCalls: 8, ownMs: 180, timeoutMs: 800, priority: 3, part: 0.75 },
+  book: { leafCalls: 4, ownMs: 190, timeoutMs: 1_000, priority: 2, part: 0.25 },
+} as const;
+
+const LEAF_SLOTS = 4 * 23;
+const LEAF_MS = 30;
+
+/** Longest wait of a leaf call before its caller gives up, in milliseconds. */
+const LEAF_TIMEOUT_MS = 700;
+
+/** Delay of the utilization on its way up the answers of the tree, in milliseconds. */
+const REPORT_DELAY_MS = 100;
+
+type RouteName = keyof typeof ROUTES;
+
+interface LeafCall {
+  readonly deadlineMs: number;
+  readonly done: (isServed: boolean) => void;
+}
+
+/** Plays an open load of call trees against one queue of leaf calls on a simulated clock. */
+export class TreeLoad {
+  readonly #options: TreeLoadOptions;
+
+  readonly #events = new EventHeap();
+
+  readonly #random: SeededSource;
+
+  readonly #trees: Trees;
+
+  readonly #queue: LeafCall[] = [];
+
+  #running = 0;
+
+  #nowMs = 0;
+
+  readonly outcome: TreeOutcome = {
+    browse: { asked: 0, served: 0, refused: 0 },
+    book: { asked: 0, served: 0, refused: 0 },
+  };
+
+  constructor(options: TreeLoadOptions) {
+    this.#options = options;
+    this.#random = new SeededSource(options.seed);
+    this.#trees = new Trees('entry', this.#random);
+  }
+
+  /** Plays the whole load. Requests of the first fifth are not counted, while the control settles. */
+  play(): TreeOutcome {
+    const capacity = (LEAF_SLOTS * 1_000) / LEAF_MS;
+    const calls = Object.values(ROUTES).reduce((sum, one) => sum + one.part * one.leafCalls, 0);
+    const perMs = (this.#options.demand * capacity) / calls / 1_000;
+    this.#scheduleArrival(perMs);
+    this.#scheduleReport();
+    this.#events.runDue(2 * this.#options.lengthMs);
+    return this.outcome;
+  }
+
+  #at(delayMs: number, run: () => void): void {
+    const atMs = this.#nowMs + delayMs;
+    this.#events.schedule(atMs, () => {
+      this.#nowMs = atMs;
+      run();
+    });
+  }
+
+  #draw(meanMs: number): number {
+    return -Math.log(1 - this.#random.next()) * meanMs;
+  }
+
+  #scheduleArrival(perMs: number): void {
+    this.#at(this.#draw(1 / perMs), () => {
+      if (this.#nowMs < this.#options.lengthMs) {
+        this.#arrive(this.#random.next() < ROUTES.browse.part ? 'browse' : 'book');
+        this.#scheduleArrival(perMs);
+      }
+    });
+  }
+
+  #scheduleReport(): void {
+    const utilization = (this.#running + this.#queue.length) / LEAF_SLOTS;
+    this.#at(REPORT_DELAY_MS, () => {
+      (Object.keys(ROUTES) as RouteName[]).forEach((route) =>
+        this.#trees.recordAnswer(
+          route,
+          [{ service: 'leaf', calls: ROUTES[route].leafCalls, utilization }],
+          this.#nowMs,
+        ),
+      );
+    });
+    this.#at(10, () => {
+      if (this.#nowMs < this.#options.lengthMs) {
+        this.#scheduleReport();
+      }
+    });
+  }
+
+  #arrive(name: RouteName): void {
+    const route = ROUTES[name];
+    const counts = this.outcome[name];
+    const isCounted = this.#nowMs > this.#options.lengthMs / 5;
+    counts.asked += Number(isCounted);
+    const decision = this.#trees.admission.decide(name, route.priority, this.#nowMs);
+    if (this.#options.admits && !decision.admitted) {
+      counts.refused += Number(isCounted);
+      return;
+    }
+    const deadlineMs = this.#nowMs + route.timeoutMs;
+    this.#at(this.#draw(route.ownMs / 2) + route.ownMs / 2, () =>
+      this.#callLeaf(route.leafCalls, deadlineMs, () => {
+        counts.served += Number(isCounted);
+      }),
+    );
+  }
+
+  /** Leaf calls of one tree follow one another; the tree ends with the first that fails. */
+  #callLeaf(left: number, deadlineMs: number, serve: () => void): void {
+    if (this.#nowMs >= deadlineMs) {
+      return;
+    }
+    if (left === 0) {
+      serve();
+      return;
+    }
+    this.#queue.push({
+      deadlineMs: Math.min(deadlineMs, this.#nowMs + LEAF_TIMEOUT_MS),
+      done: (isServed) => {
+        if (isServed) {
+          this.#callLeaf(left - 1, deadlineMs, serve);
+        }
+      },
+    });
+    this.#runLeaf();
+  }
+
+  #runLeaf(): void {
+    while (this.#running < LEAF_SLOTS && this.#queue.length > 0) {
+      const call = this.#queue.shift();
+      if (call !== undefined && call.deadlineMs > this.#nowMs) {
+        this.#running += 1;
+        this.#at(this.#draw(LEAF_MS), () => {
+          this.#running -= 1;
+          call.done(true);
+          this.#runLeaf();
+        });
+      }
+    }
+  }
+}
--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -63,6 +63,7 @@
         rateExcess: settings.rates.excess,
         admission: {
           limit: settings.admission.limit,
+          order: settings.admission.order,
           preempts: settings.admission.preemption,
         },
       }),
--- a/packages/node/src/process/settings/settingsSchema.ts
+++ b/packages/node/src/process/settings/settingsSchema.ts
@@ -41,6 +41,7 @@
   rates: z.strictObject({ excess: createFraction().default(0) }),
   admission: z.strictObject({
     limit: z.enum(['adaptive', 'declared'], 'adaptive or declared').default('adaptive'),
+    order: z.enum(['arrival', 'newest'], 'arrival or newest').default('arrival'),
     preemption: createSwitch('yes'),
     overload: z.enum(['levels', 'trees'], 'levels or trees').default('levels'),
   }),
