--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -32,7 +32,10 @@
       ],
       'import-x/no-extraneous-dependencies': [
         'error',
-        { devDependencies: ['**/test/**', 'eslint.config.mjs', 'scripts/**'], packageDir: ['.'] },
+        {
+          devDependencies: ['**/test/**', 'eslint.config.mjs', 'scripts/**', 'platform/build.mjs'],
+          packageDir: ['.'],
+        },
       ],
     },
   },
--- a/packages/core/src/process/admission/DeclaredLimit.ts
+++ b/packages/core/src/process/admission/DeclaredLimit.ts
@@ -10,6 +10,9 @@
 export class DeclaredLimit implements SlotLimit {
   #slots: number;
 
+  /** Runs since the backend server was last down; shown only. */
+  #runs = 0;
+
   /** @param slots - Declared number of slots. */
   constructor(slots: number) {
     this.#slots = slots;
@@ -20,7 +23,7 @@
   }
 
   reset(): void {
-    // Nothing is learned, so nothing is forgotten.
+    this.#runs = 0;
   }
 
   read(): number {
@@ -28,10 +31,10 @@
   }
 
   record(): void {
-    // The declaration holds whatever a run showed.
+    this.#runs += 1;
   }
 
   snapshot(): object {
-    return { limit: this.read(), slots: this.#slots };
+    return { limit: this.read(), slots: this.#slots, runs: this.#runs };
   }
 }
--- a/packages/core/src/process/admission/FairQueue.ts
+++ b/packages/core/src/process/admission/FairQueue.ts
@@ -58,7 +58,7 @@
   /** Finds the item that `take` would return. */
   findNext(nowMs: number): AdmissionItem | undefined {
     const items = this.#findNextLine()?.items ?? [];
-    return this.#isNewestFirst(items, nowMs) ? items.at(-1) : items[0];
+    return this.#isNewestFirst(items, nowMs) ? items[items.length - 1] : items[0];
   }
 
   /** Takes the next item in fair order. */
--- a/packages/core/src/process/node/Departure.ts
+++ b/packages/core/src/process/node/Departure.ts
@@ -48,6 +48,11 @@
     return this.#drainSinceMs !== undefined || this.#backendDrains || this.#listedLeaving;
   }
 
+  /** True once the process is being stopped; a backend server that leaves does not stop it. */
+  isStopping(): boolean {
+    return this.#drainSinceMs !== undefined;
+  }
+
   /**
    * Starts the planned stop of the process.
    * @param nowMs - Monotonic time, in milliseconds.
--- a/packages/core/src/process/node/NodeMachine.ts
+++ b/packages/core/src/process/node/NodeMachine.ts
@@ -105,9 +105,9 @@
     return this.#services.outbox.takeCommands();
   }
 
-  /** Tells whether the node serves: a configuration is in force and the node is not leaving. */
+  /** Tells whether the node serves callers: a configuration is in force and the process is not being stopped. */
   isServing(): boolean {
-    return this.#isReady() && !this.#departure.isLeaving();
+    return this.#isReady() && !this.#departure.isStopping();
   }
 
   /** Reads the counters of the process. */
@@ -261,6 +261,9 @@
       return;
     }
     this.#departure.recordBackendDrain(state === 'draining');
+    if (state === 'down') {
+      this.#exit.runs.confirmCrash(nowMs);
+    }
     this.#exit.runs.apply(this.#services.admission.setBackend(state, nowMs), nowMs);
   }
 
--- a/packages/core/src/process/node/createNodeServices.ts
+++ b/packages/core/src/process/node/createNodeServices.ts
@@ -36,6 +36,8 @@
   readonly admission?: admission.AdmissionPolicy;
   /** `levels`: a service's own level sheds requests to it; `trees`: what whole call trees need sheds them. */
   readonly overload?: 'levels' | 'trees';
+  /** How requests that crash backend servers are found; isolating by default. */
+  readonly suspects?: suspects.SuspectPolicy;
   /** Part by which the sum over the fleet may exceed the rate and burst of a workspace; 0 by default. */
   readonly rateExcess?: number;
   /** Draws unguessable call tokens; random unless a test needs fixed ones. */
@@ -74,7 +76,10 @@
       random,
       ...(options.admission === undefined ? {} : { policy: options.admission }),
     }),
-    suspects: new suspects.SuspectTable({ blockMs: POISON_BLOCK_MS }),
+    suspects: new suspects.SuspectTable({
+      blockMs: POISON_BLOCK_MS,
+      ...(options.suspects === undefined ? {} : { policy: options.suspects }),
+    }),
     once: new once.OnceTable(),
     tickets: new once.TicketIssuer(self, options.ticketSecret),
     ...(options.overload === 'trees' ? { trees: new trees.Trees(self.service, random) } : {}),
--- a/packages/core/src/process/suspects/SuspectTable.ts
+++ b/packages/core/src/process/suspects/SuspectTable.ts
@@ -1,3 +1,5 @@
+import { ISOLATING_POLICY, type SuspectPolicy } from './SuspectPolicy.js';
+
 /** What is known about a fingerprint. */
 export type SuspectState = 'clear' | 'suspect' | 'blocked';
 
@@ -15,6 +17,7 @@
 
 interface Entry {
   readonly state: 'suspect' | 'blocked';
+  readonly crashes: number;
   /** VM and time of the last crash that counted. */
   readonly vm: string;
   readonly crashedMs: number;
@@ -23,17 +26,23 @@
 
 /**
  * Remembers which requests ran on a backend server when it died. A fingerprint is a suspect after the first crash and
- * blocked after the second. One poison request takes at most as many VMs as attempts of it begin before its second
- * crash is known where they run: 2 if every report arrives before the next attempt.
+ * blocked after the second, or after as many as the policy says. One poison request takes at most as many VMs as attempts
+ * of it begin before its last crash is known where they run: 2 if every report arrives before the next attempt.
  */
 export class SuspectTable {
+  readonly policy: SuspectPolicy;
+
   #blockMs: number;
 
   /** In the order of the last crash, oldest first. */
   readonly #entries = new Map<string, Entry>();
 
-  /** @param options - `blockMs`: how long a fingerprint is blocked, and how long a suspect is remembered. */
-  constructor(options: { blockMs: number }) {
+  /**
+   * @param options - `blockMs`: how long a fingerprint is blocked, and how long a suspect is remembered; `policy`:
+   * isolating by default.
+   */
+  constructor(options: { blockMs: number; policy?: SuspectPolicy }) {
+    this.policy = options.policy ?? ISOLATING_POLICY;
     this.#blockMs = options.blockMs;
   }
 
@@ -56,10 +65,12 @@
       if (this.#isSameCrash(fingerprint, nowMs, vm)) {
         return;
       }
-      const state = this.findState(fingerprint, nowMs) === 'clear' ? 'suspect' : 'blocked';
+      const isKnown = this.findState(fingerprint, nowMs) !== 'clear';
+      const crashes = 1 + (isKnown ? (this.#entries.get(fingerprint)?.crashes ?? 0) : 0);
+      const state = crashes >= this.policy.crashes ? 'blocked' : 'suspect';
       this.#entries.delete(fingerprint);
       const untilMs = nowMs + this.#blockMs;
-      this.#entries.set(fingerprint, { state, vm, crashedMs: nowMs, untilMs });
+      this.#entries.set(fingerprint, { state, crashes, vm, crashedMs: nowMs, untilMs });
     });
     this.#dropOldest();
   }
--- a/packages/core/src/process/suspects/index.ts
+++ b/packages/core/src/process/suspects/index.ts
@@ -1,1 +1,2 @@
+export * from './SuspectPolicy.js';
 export * from './SuspectTable.js';
--- a/packages/core/src/request/calls/BackendRuns.ts
+++ b/packages/core/src/request/calls/BackendRuns.ts
@@ -14,6 +14,12 @@
 /** Nodes of the service that hear of a crash; a service has about 7 instances on average. */
 const CRASH_REPORT_PEERS = 32;
 
+/** Time between a broken run and a refused connection that belong to one crash, in milliseconds. */
+const CONFIRM_MS = 1_000;
+
+/** Broken runs that are remembered; a backend server has fewer slots. */
+const BREAKS = 1_024;
+
 /** Base of the time after which a call that did not run may come back, in milliseconds. */
 const RETRY_AFTER_MS = 500;
 
@@ -39,6 +45,9 @@
 
   readonly #cancelChildren: (requestIds: readonly string[], nowMs: number) => void;
 
+  /** Runs that broke lately and are not known to be crashes. */
+  #breaks: readonly { readonly fingerprint: string; readonly atMs: number }[] = [];
+
   readonly #handlers: {
     readonly [Kind in BackendResult['kind']]: (
       call: ExitCall,
@@ -157,6 +166,29 @@
       });
   }
 
+  /**
+   * Reports the runs that broke a moment ago as crashes, because the backend server now refuses connections.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  confirmCrash(nowMs: number): void {
+    const fingerprints = this.#breaks
+      .filter(({ atMs }) => nowMs - atMs <= CONFIRM_MS)
+      .map(({ fingerprint }) => fingerprint);
+    this.#breaks = [];
+    if (fingerprints.length > 0) {
+      this.#reportCrash(fingerprints, nowMs);
+    }
+  }
+
+  #recordBreak(fingerprint: string, nowMs: number): void {
+    if (this.#services.suspects.policy.evidence === 'broken') {
+      this.#reportCrash([fingerprint], nowMs);
+      return;
+    }
+    const recent = this.#breaks.filter(({ atMs }) => nowMs - atMs <= CONFIRM_MS);
+    this.#breaks = [...recent, { fingerprint, atMs: nowMs }].slice(-BREAKS);
+  }
+
   #run(call: ExitCall, nowMs: number): void {
     call.state = 'running';
     call.startedMs = nowMs;
@@ -226,6 +258,7 @@
   }
 
   #handleNotSent(call: ExitCall, nowMs: number): void {
+    this.confirmCrash(nowMs);
     this.#finish(call, 'failed', nowMs);
     this.apply(this.#services.admission.setBackend('down', nowMs), nowMs);
     this.refuse(call, this.#createRefusal('noBackend'), nowMs);
@@ -235,7 +268,7 @@
   #handleBroken(call: ExitCall, nowMs: number): void {
     this.#finish(call, 'failed', nowMs);
     if (call.stopReason === undefined) {
-      this.#reportCrash(call, nowMs);
+      this.#recordBreak(call.fingerprint, nowMs);
     }
     this.#endUnknown(call, 'backendFailed', nowMs);
   }
@@ -250,11 +283,11 @@
     this.#endUnknown(call, STOP_REASONS[call.stopReason ?? 'cancelled'], nowMs);
   }
 
-  #reportCrash(call: ExitCall, nowMs: number): void {
+  #reportCrash(fingerprints: readonly string[], nowMs: number): void {
     const { suspects, membership, outbox, self, counters } = this.#services;
     counters.count('crashesSuspected');
-    suspects.recordCrash([call.fingerprint], nowMs, self.name);
-    const fields = { service: self.service, fingerprints: [call.fingerprint] };
+    suspects.recordCrash(fingerprints, nowMs, self.name);
+    const fields = { service: self.service, fingerprints: [...fingerprints] };
     membership
       .findService(self.service)
       .filter((vm) => vm.name !== self.name)
--- a/packages/core/test/process/admission/FairQueue.test.ts
+++ b/packages/core/test/process/admission/FairQueue.test.ts
@@ -81,4 +81,14 @@
       { numRuns: 500, seed: 2 },
     );
   });
+
+  it('guards against a standing queue in which every call becomes late', () => {
+    const queue = new FairQueue('newest');
+    [0, 10, 20].forEach((arrivedMs) => queue.add(createItem(`at${arrivedMs}`, { arrivedMs })));
+    expect(queue.findNext(25)?.callId).to.equal('at0');
+    expect(queue.findNext(40)?.callId).to.equal('at20');
+    expect(queue.take(40)?.callId).to.equal('at20');
+    expect(queue.dropOverShare(40)?.callId).to.equal('at0');
+    expect(queue.take(41)?.callId).to.equal('at10');
+  });
 });
--- /dev/null
+++ b/packages/core/test/process/documents/DocumentRelay.test.ts
@@ -0,0 +1,92 @@
+import { expect } from 'chai';
+import { DocumentRelay } from '../../../src/process/documents/index.js';
+import type { NodeCommand } from '../../../src/process/node/index.js';
+import { Outbox } from '../../../src/process/node/Outbox.js';
+import { SeededSource } from '../../support/SeededSource.js';
+
+const DOCUMENT = { name: 'configuration', revision: 7, content: 'seven' };
+
+const NEWER = { ...DOCUMENT, revision: 9, content: 'nine' };
+
+function createRelay(): { relay: DocumentRelay; take: () => readonly NodeCommand[] } {
+  const outbox = new Outbox('own');
+  const random = new SeededSource(3);
+  const relay = new DocumentRelay(
+    { outbox, random, listPeers: () => ['a', 'b', 'c', 'd', 'e'] },
+    0,
+  );
+  return { relay, take: () => outbox.takeCommands() };
+}
+
+/** Names of the peers that are asked. */
+function listAsked(commands: readonly NodeCommand[]): readonly string[] {
+  return commands.flatMap((command) =>
+    command.kind === 'sendRequest' && command.frame.body.case === 'documentRequest'
+      ? [command.peer]
+      : [],
+  );
+}
+
+function createRequest(revision: number) {
+  return { held: [{ name: 'configuration', revision }] } as Parameters<DocumentRelay['answer']>[1];
+}
+
+describe('the relay of documents', () => {
+  it('guards against questions to peers while the own source answers', () => {
+    const { relay, take } = createRelay();
+    relay.recordRead(DOCUMENT);
+    expect(new Set(listAsked(take()))).to.have.property('size', 3);
+    [100, 1_000, 10_000].forEach((nowMs) => relay.advance(nowMs));
+    expect(listAsked(take())).to.deep.equal([]);
+  });
+
+  it('guards against a node without its source that asks nobody or asks in a storm', () => {
+    const { relay, take } = createRelay();
+    relay.recordSource(false, 1_000);
+    relay.advance(1_200);
+    expect(listAsked(take())).to.deep.equal([]);
+    Array.from({ length: 20 }, (_, tick) => relay.advance(1_500 + tick * 50));
+    expect(listAsked(take()).length).to.be.within(3, 4);
+    relay.recordSource(true, 2_500);
+    relay.advance(9_000);
+    expect(listAsked(take())).to.deep.equal([]);
+  });
+
+  it('guards against an older document that replaces a newer one', () => {
+    const { relay, take } = createRelay();
+    relay.receive(NEWER);
+    relay.receive(DOCUMENT);
+    const received = take().filter((command) => command.kind === 'documentReceived');
+    expect(received).to.deep.equal([{ kind: 'documentReceived', document: NEWER }]);
+  });
+
+  it('guards against a new revision that a peer tells and a silent source never brings', () => {
+    const { relay, take } = createRelay();
+    relay.recordRead(DOCUMENT);
+    take();
+    relay.answer('b', createRequest(9), 1_000);
+    relay.advance(1_100);
+    expect(listAsked(take())).to.deep.equal([]);
+    relay.advance(1_160);
+    expect(listAsked(take())).to.deep.equal(['b']);
+  });
+
+  it('guards against a question for a revision that the own source brought meanwhile', () => {
+    const { relay, take } = createRelay();
+    relay.recordRead(DOCUMENT);
+    relay.answer('b', createRequest(9), 1_000);
+    relay.recordRead(NEWER);
+    take();
+    relay.advance(1_500);
+    expect(listAsked(take())).to.deep.equal([]);
+  });
+
+  it('guards against a peer that is not given what it lacks', () => {
+    const { relay, take } = createRelay();
+    relay.recordRead(NEWER);
+    take();
+    relay.answer('b', createRequest(7), 0);
+    const [reply] = take();
+    expect(reply.kind === 'sendReply' && reply.frame.body.value).to.include(NEWER);
+  });
+});
--- a/packages/core/test/process/suspects/SuspectTable.test.ts
+++ b/packages/core/test/process/suspects/SuspectTable.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { SuspectTable } from '../../../src/process/suspects/index.js';
+import { COUNTING_POLICY, SuspectTable } from '../../../src/process/suspects/index.js';
 
 const BLOCK_MS = 600_000;
 
@@ -75,4 +75,14 @@
     expect(table.snapshot(3)).to.include({ suspects: 4095, blocked: 1 });
     expect(JSON.stringify(table.snapshot(3)).length).to.be.lessThan(10_000);
   });
+
+  it('guards against requests that are blocked for two crashes of others under the counting policy', () => {
+    const table = new SuspectTable({ blockMs: BLOCK_MS, policy: COUNTING_POLICY });
+    table.recordCrash(['poison', 'innocent'], 0, 'vm1');
+    table.recordCrash(['poison', 'innocent'], 1_000, 'vm2');
+    expect(table.findState('innocent', 1_001)).to.equal('suspect');
+    table.recordCrash(['poison'], 2_000, 'vm3');
+    expect(table.findState('poison', 2_001)).to.equal('blocked');
+    expect(table.findState('innocent', 2_001)).to.equal('suspect');
+  });
 });
--- a/packages/core/test/process/trees/CallRatios.test.ts
+++ b/packages/core/test/process/trees/CallRatios.test.ts
@@ -51,10 +51,10 @@
 
   it('guards against a ratio that stays when a route no longer makes the calls', () => {
     const ratios = playRoutes([{ name: 'catalog', perSecond: 20, runMs: 50, calls: 2 }]);
-    Array.from({ length: 300 }, () => {
+    for (let run = 0; run < 300; run += 1) {
       ratios.recordStart('catalog');
       ratios.recordEnd('catalog', 50);
-    });
+    }
     expect(ratios.list('catalog').get('leaf')).to.be.below(0.1);
   });
 });
--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -1,5 +1,5 @@
 import { performance } from 'node:perf_hooks';
-import { node } from '@tanagerpond/core';
+import { node, suspects } from '@tanagerpond/core';
 import { cac } from 'cac';
 import type { NodePorts } from '../ports/index.js';
 import { NodeProcess } from '../process/host/index.js';
@@ -7,6 +7,11 @@
 import { loadSettings } from '../process/settings/index.js';
 import type { Settings } from '../process/settings/index.js';
 
+const SUSPECT_POLICIES = {
+  isolate: suspects.ISOLATING_POLICY,
+  count: suspects.COUNTING_POLICY,
+} as const;
+
 /** Exit code of a settings file or a command line that cannot be used. */
 const EXIT_USAGE = 2;
 
@@ -58,6 +63,7 @@
         trustedKeys: settings.trust.signingKeys,
         drainLimitMs: settings.drain.limitMs,
         unsignedBundles: settings.trust.unsigned,
+        suspects: SUSPECT_POLICIES[settings.suspects.policy],
         seeds,
         overload: settings.admission.overload,
         rateExcess: settings.rates.excess,
--- a/packages/node/src/process/settings/settingsSchema.ts
+++ b/packages/node/src/process/settings/settingsSchema.ts
@@ -38,6 +38,9 @@
   }),
   trust: z.strictObject({ signingKeys: createKeys().default([]), unsigned: createSwitch() }),
   peers: z.strictObject({ seeds: createAddressList().default([]) }),
+  suspects: z.strictObject({
+    policy: z.enum(['isolate', 'count'], 'isolate or count').default('isolate'),
+  }),
   rates: z.strictObject({ excess: createFraction().default(0) }),
   admission: z.strictObject({
     limit: z.enum(['adaptive', 'declared'], 'adaptive or declared').default('adaptive'),
@@ -81,6 +84,7 @@
   'peers',
   'admission',
   'rates',
+  'suspects',
 ] as const;
 
 /**
