--- a/packages/core/src/process/documents/DocumentRelay.ts
+++ b/packages/core/src/process/documents/DocumentRelay.ts
@@ -7,9 +7,15 @@
 /** Time without the source after which peers are asked, in milliseconds; above one slow answer of a source. */
 const SOURCE_SILENCE_MS = 500;
 
-/** Time between two requests to peers, in milliseconds. */
+/** Time between two requests to peers while the source is silent, in milliseconds. */
 const REQUEST_MS = 300;
 
+/**
+ * Time between two requests to peers while the source answers, in milliseconds. A connection to the source that went
+ * silent shows only after its longest wait; a withdrawn key must be known before.
+ */
+const COMPARE_MS = 500;
+
 /** Peers that hear of a document that this node has read. */
 const ANNOUNCED_PEERS = 3;
 
@@ -28,9 +34,9 @@
 }
 
 /**
- * Spreads published documents between peers while some of them cannot reach the source. A node whose source is silent
- * asks one random peer at a time. A node that has read a new document tells a few peers its revision, and a peer whose
- * own source does not bring it soon, as on a connection that went silent, asks for it.
+ * Spreads published documents between peers while some of them cannot reach the source. Every node compares revisions with
+ * one random peer now and then, more often while its source is silent. A node that has a new document tells a few peers
+ * its revision, and a peer whose own source does not bring it soon, as on a connection that went silent, asks for it.
  */
 export class DocumentRelay {
   readonly #parts: DocumentRelayParts;
@@ -102,6 +108,7 @@
     const document = { name, revision, content };
     if (this.#keep(document)) {
       this.#parts.outbox.add({ kind: 'documentReceived', document });
+      this.#pickPeers(ANNOUNCED_PEERS).forEach((peer) => this.#request(peer));
     }
   }
 
@@ -111,8 +118,10 @@
    */
   advance(nowMs: number): void {
     this.#requestHeard(nowMs);
-    const isDue = nowMs - this.#requestedMs >= REQUEST_MS;
-    if (this.#isReachable || !isDue || nowMs - this.#changedMs < SOURCE_SILENCE_MS) {
+    const isSilent = !this.#isReachable && nowMs - this.#changedMs >= SOURCE_SILENCE_MS;
+    const pauseMs = isSilent ? REQUEST_MS : COMPARE_MS;
+    const hasSource = this.#documents.size > 0 || !this.#isReachable;
+    if (!hasSource || nowMs - this.#requestedMs < pauseMs) {
       return;
     }
     this.#requestedMs = nowMs;
--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -4,7 +4,7 @@
 import type { NodePorts } from '../ports/index.js';
 import { NodeProcess } from '../process/host/index.js';
 import { createLogger } from '../process/log/index.js';
-import { loadSettings } from '../process/settings/index.js';
+import { loadSettings, SettingsReload } from '../process/settings/index.js';
 import type { Settings } from '../process/settings/index.js';
 
 const SUSPECT_POLICIES = {
@@ -42,10 +42,10 @@
     process.stderr.write(`${loaded.error.message.replace(/^/gm, 'settings: ')}\n`);
     return EXIT_USAGE;
   }
-  return options.check === true ? 0 : runProcess(loaded.value, ports);
+  return options.check === true ? 0 : runProcess(options.settings, loaded.value, ports);
 }
 
-async function runProcess(settings: Settings, ports?: NodePorts): Promise<number> {
+async function runProcess(file: string, settings: Settings, ports?: NodePorts): Promise<number> {
   const log = createLogger({
     level: settings.log.level,
     stream: process.stdout,
@@ -74,6 +74,10 @@
         },
       }),
   });
+  const reload = new SettingsReload(file, settings, log);
+  process.on('SIGHUP', () => {
+    void reload.run();
+  });
   process.once('SIGTERM', () => host.drain());
   process.once('SIGINT', () => host.drain());
   try {
--- a/packages/node/src/process/log/createLogger.ts
+++ b/packages/node/src/process/log/createLogger.ts
@@ -19,6 +19,15 @@
   write(level: LogLevel, part: string, text: string, fields?: LogFields): void;
 }
 
+/** The log of a process, whose level can change. */
+export interface ProcessLog extends Log {
+  /**
+   * Changes the least severe level that is written.
+   * @param level - New level.
+   */
+  setLevel(level: LogLevel): void;
+}
+
 interface Repeated {
   untilMs: number;
   count: number;
@@ -38,7 +47,7 @@
   readonly level: LogLevel;
   readonly stream: Writable;
   readonly now: () => number;
-}): Log {
+}): ProcessLog {
   const logger = winston.createLogger({
     level: options.level,
     format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
@@ -46,6 +55,9 @@
   });
   const repeated = new Map<string, Repeated>();
   return {
+    setLevel(level) {
+      logger.level = level;
+    },
     write(level, part, text, fields = {}) {
       const count =
         level === 'info' || level === 'debug'
--- a/packages/node/src/process/log/index.ts
+++ b/packages/node/src/process/log/index.ts
@@ -1,2 +1,2 @@
 export { createLogger } from './createLogger.js';
-export type { Log, LogFields, LogLevel } from './createLogger.js';
+export type { Log, LogFields, LogLevel, ProcessLog } from './createLogger.js';
--- a/packages/node/test/bin/tanagerpondNode.test.ts
+++ b/packages/node/test/bin/tanagerpondNode.test.ts
@@ -103,6 +103,20 @@
     logged.forEach((line) => expect(JSON.parse(line)).to.include.keys('level', 'message'));
   });
 
+  it('guards against a reload that ends the process or takes over a file that is not valid', async () => {
+    await run(renderSettings('a', OUTSIDE));
+    await waitReady();
+    const file = path.join(folder, 'node.ini');
+    await writeFile(file, renderSettings('a', OUTSIDE).replace('wait-ms = 100', 'wait = 5'));
+    child?.kill('SIGHUP');
+    await waitFor('the fault', () => out.includes('reload failed, settings in force stay'));
+    await writeFile(file, renderSettings('a', OUTSIDE).replace('wait-ms = 100', 'wait-ms = 200'));
+    child?.kill('SIGHUP');
+    await waitFor('the reload', () => out.includes('settings: reloaded'));
+    expect(out).to.include('"needsRestart":"platform.wait-ms"');
+    expect(exitCode).to.equal(undefined);
+  });
+
   it('guards against a drain by the admin listener that does not end the process', async () => {
     await run(renderSettings('a', OUTSIDE));
     const { admin } = await waitReady();
