--- a/packages/core/src/process/trees/ServiceUtilization.ts
+++ b/packages/core/src/process/trees/ServiceUtilization.ts
@@ -1,5 +1,8 @@
-/** Weight of a new sample: samples of about the last 20 answers count. */
-const SAMPLE_WEIGHT = 0.05;
+/**
+ * Time constant of the smoothing, in milliseconds. It follows time and not the number of samples, because a reading passes
+ * through several nodes on its way up a tree, and an entry node gets few samples of a route.
+ */
+const SMOOTHING_MS = 120;
 
 /** A service from which nothing was heard for this time counts as idle, in milliseconds. */
 const LIFE_MS = 1_500;
@@ -30,7 +33,8 @@
       this.#dropOldest();
       return;
     }
-    known.utilization += SAMPLE_WEIGHT * (utilization - known.utilization);
+    const weight = 1 - Math.exp(-Math.max(1, nowMs - known.recordedMs) / SMOOTHING_MS);
+    known.utilization += weight * (utilization - known.utilization);
     known.recordedMs = nowMs;
   }
 
--- a/packages/node/src/connection/PeerServer.ts
+++ b/packages/node/src/connection/PeerServer.ts
@@ -16,8 +16,19 @@
   readonly names: readonly string[] | undefined;
 }
 
-/** Listener for the streams that peers open. */
-export class PeerServer {
+/** A listener for the streams that peers open. */
+export interface PeerListener extends AsyncDisposable {
+  /**
+   * Begins to listen.
+   * @param host - IP address.
+   * @param port - Port; 0 for any free one.
+   * @returns The port in use. Rejects when the address cannot be used.
+   */
+  listen(host: string, port: number): Promise<number>;
+}
+
+/** Listener for the gRPC streams that peers open. */
+export class PeerServer implements PeerListener {
   readonly #server = new Server(LINK_CHANNEL_OPTIONS);
 
   readonly #credentials: PeerCredentials;
--- a/packages/node/src/process/host/NodeProcess.ts
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -4,10 +4,13 @@
 import {
   buildFrame,
   connectPeer,
+  connectTcpPeer,
   PeerCredentials,
   PeerLinks,
   PeerServer,
+  TcpPeerServer,
 } from '../../connection/index.js';
+import type { InboundTransport, LinkTransport, PeerListener } from '../../connection/index.js';
 import { OWN_BACKEND_DIALECT, OWN_EDGE_DIALECT } from '../../ports/index.js';
 import type { NodePorts, StateSource } from '../../ports/index.js';
 import { ReadinessListener, RequestListener } from '../../request/index.js';
@@ -47,6 +50,25 @@
   createSource: createPlatformReader,
 };
 
+/** How streams to peers are opened and accepted. */
+interface PeerTransport {
+  readonly connect: (peer: string, address: string) => LinkTransport;
+  readonly createListener: (accept: (accepted: InboundTransport) => void) => PeerListener;
+}
+
+const TRANSPORTS: Readonly<
+  Record<Settings['peers']['transport'], (credentials: PeerCredentials) => PeerTransport>
+> = {
+  grpc: (credentials) => ({
+    connect: (peer, address) => connectPeer({ peer, address, credentials }),
+    createListener: (accept) => new PeerServer(credentials, accept),
+  }),
+  tcp: () => ({
+    connect: (_peer, address) => connectTcpPeer(address),
+    createListener: (accept) => new TcpPeerServer(accept),
+  }),
+};
+
 /** Bytes of an incarnation. */
 const INCARNATION_BYTES = 16;
 
@@ -77,7 +99,7 @@
 
   readonly #links: PeerLinks;
 
-  readonly #server: PeerServer;
+  readonly #server: PeerListener;
 
   readonly #listeners: Readonly<Record<'caller' | 'egress', RequestListener>>;
 
@@ -113,7 +135,7 @@
       startedMs: readNow(),
       seeds: settings.peers.seeds.map(({ host }) => host),
     });
-    const credentials = createCredentials(settings);
+    const transport = TRANSPORTS[settings.peers.transport](createCredentials(settings));
     const common = { store: this.#store, counters: this.#counters, log, now: readNow };
     const publish = (message: node.NodeMessage): void => this.#publish(message);
     this.#links = new PeerLinks({
@@ -121,10 +143,10 @@
       publish,
       maxBody: settings.bodies.maxBody,
       buildHello: () => this.#buildHello(),
-      connect: (peer, address) => connectPeer({ peer, address, credentials }),
+      connect: transport.connect,
     });
     this.#links.replaceAddresses(this.#listSeeds());
-    this.#server = new PeerServer(credentials, (transport) => this.#links.accept(transport));
+    this.#server = transport.createListener((accepted) => this.#links.accept(accepted));
     this.#listeners = {
       caller: this.#createListener('caller'),
       egress: this.#createListener('egress'),
--- a/packages/node/src/process/settings/parseSettings.ts
+++ b/packages/node/src/process/settings/parseSettings.ts
@@ -86,7 +86,7 @@
 }
 
 function checkRelations(file: string, settings: Settings): readonly SettingsFault[] {
-  const { bodies, tls, listen, trust } = settings;
+  const { bodies, tls, listen, trust, peers } = settings;
   const faults: SettingsFault[] = [];
   if (bodies.budget < 2 * bodies.maxBody) {
     const expected = 'at least twice max-body, for a request and its answer';
@@ -96,6 +96,10 @@
     const expected = 'a key, unless unsigned is yes';
     faults.push({ file, section: 'trust', key: 'signing-keys', expected });
   }
+  if (peers.transport === 'tcp' && !tls.plainText) {
+    const expected = 'grpc, because plain-text is no';
+    faults.push({ file, section: 'peers', key: 'transport', expected });
+  }
   if (tls.plainText && !tls.trustedNetwork && !isLoopback(listen.peer)) {
     const expected = 'no, because the peer listener is not on loopback';
     faults.push({ file, section: 'tls', key: 'plain-text', expected });
--- a/packages/node/src/process/settings/settingsSchema.ts
+++ b/packages/node/src/process/settings/settingsSchema.ts
@@ -37,7 +37,10 @@
     waitMs: createInteger(100, 300_000).default(30_000),
   }),
   trust: z.strictObject({ signingKeys: createKeys().default([]), unsigned: createSwitch() }),
-  peers: z.strictObject({ seeds: createAddressList().default([]) }),
+  peers: z.strictObject({
+    seeds: createAddressList().default([]),
+    transport: z.enum(['grpc', 'tcp'], 'grpc or tcp').default('grpc'),
+  }),
   suspects: z.strictObject({
     policy: z.enum(['isolate', 'count'], 'isolate or count').default('isolate'),
   }),
--- a/packages/node/src/request/readBody.ts
+++ b/packages/node/src/request/readBody.ts
@@ -1,4 +1,4 @@
-import { createHash } from 'node:crypto';
+import { createHash, type Hash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
 import type { BodyStore, Reservation } from '../process/bodies/index.js';
 
@@ -46,7 +46,7 @@
   reservation: Reservation,
 ): Promise<ReadBodyResult> {
   const chunks: Buffer[] = [];
-  const hash = createHash('sha256');
+  let hash: Hash | undefined;
   let size = 0;
   try {
     // Leaving the loop must not destroy the socket: the refusal is still to be sent on it.
@@ -60,7 +60,7 @@
       if (size > reservation.size && !reservation.tryGrow(size - reservation.size)) {
         return { kind: 'buffersFull' };
       }
-      hash.update(bytes);
+      hash = (hash ?? createHash('sha256')).update(bytes);
       chunks.push(bytes);
     }
   } catch {
@@ -69,6 +69,6 @@
   if (!incoming.complete) {
     return { kind: 'gone' };
   }
-  const digest = size === 0 ? '' : hash.digest('hex');
+  const digest = hash?.digest('hex') ?? '';
   return { kind: 'complete', bytes: Buffer.concat(chunks, size), digest, reservation };
 }
