--- a/packages/core/src/process/trees/ServiceUtilization.ts
+++ b/packages/core/src/process/trees/ServiceUtilization.ts
@@ -10,8 +10,20 @@
 /** Services of which the utilization is kept. */
 const SERVICES = 4_096;
 
+/** Time constant of the part of calls that are turned away, in milliseconds. */
+const REJECTED_MS = 300;
+
+/**
+ * Utilization that counts for a service that turns every call away. A service that rejects part of its calls at random is
+ * not full, but a tree with many calls to it hardly ends well.
+ */
+const REJECTED_UTILIZATION = 4;
+
 interface Reading {
   utilization: number;
+  /** Part of the calls that were turned away lately, and when it was last updated. */
+  rejected: number;
+  answeredMs: number;
   recordedMs: number;
 }
 
@@ -29,7 +41,12 @@
     const known = this.#readings.get(service);
     if (known === undefined || nowMs - known.recordedMs > LIFE_MS) {
       this.#readings.delete(service);
-      this.#readings.set(service, { utilization, recordedMs: nowMs });
+      this.#readings.set(service, {
+        utilization,
+        rejected: 0,
+        answeredMs: nowMs,
+        recordedMs: nowMs,
+      });
       this.#dropOldest();
       return;
     }
@@ -48,7 +65,24 @@
     const known = this.#readings.get(service);
     return known === undefined || nowMs - known.recordedMs > LIFE_MS
       ? undefined
-      : known.utilization;
+      : known.utilization + REJECTED_UTILIZATION * known.rejected;
+  }
+
+  /**
+   * Records whether a call that this node sent was turned away for want of room.
+   * @param service - Service of the call.
+   * @param isRejected - Whether it was turned away.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  recordCall(service: string, isRejected: boolean, nowMs: number): void {
+    const known = this.#readings.get(service);
+    if (known === undefined) {
+      return;
+    }
+    const elapsedMs = Math.max(1, nowMs - known.answeredMs);
+    const weight = 1 - Math.exp(-elapsedMs / REJECTED_MS);
+    known.rejected += weight * (Number(isRejected) - known.rejected);
+    known.answeredMs = nowMs;
   }
 
   #dropOldest(): void {
--- a/packages/core/src/process/trees/Trees.ts
+++ b/packages/core/src/process/trees/Trees.ts
@@ -12,9 +12,6 @@
   readonly limit: number;
 }
 
-/** Utilization that counts for a call that was turned away for want of room, whatever load was told with it. */
-const FULL_UTILIZATION = 1.5;
-
 /** What a node knows of call trees: their demand, the services that they need, and whether new ones may begin. */
 export class Trees {
   readonly ratios = new CallRatios();
@@ -40,10 +37,17 @@
   /**
    * Learns from an answer.
    * @param route - Route of the answered request.
+   * @param called - Service that answered.
    * @param demands - Report that came with it; may be empty.
    * @param nowMs - Monotonic time, in milliseconds.
    */
-  recordAnswer(route: string, demands: readonly ServiceDemand[], nowMs: number): void {
+  recordAnswer(
+    route: string,
+    called: string,
+    demands: readonly ServiceDemand[],
+    nowMs: number,
+  ): void {
+    this.#utilization.recordCall(called, false, nowMs);
     if (demands.length === 0) {
       return;
     }
@@ -63,11 +67,11 @@
    */
   recordRefusal(service: string, load: ToldLoad | undefined, isFull: boolean, nowMs: number): void {
     const told = load === undefined ? undefined : computeUtilization(load);
-    const utilization = isFull ? Math.max(FULL_UTILIZATION, told ?? 0) : told;
-    if (utilization !== undefined) {
-      this.#utilization.record(service, utilization, nowMs);
+    if (told !== undefined) {
+      this.#utilization.record(service, told, nowMs);
       this.admission.watch(service);
     }
+    this.#utilization.recordCall(service, isFull, nowMs);
   }
 }
 
--- a/packages/core/src/request/calls/EntryAttempts.ts
+++ b/packages/core/src/request/calls/EntryAttempts.ts
@@ -104,7 +104,7 @@
     router.recordOutcome(peer, { kind: 'answered', latencyMs, load: answer.load }, nowMs);
     retryRatio.recordSuccess(call.route.service, nowMs);
     pressure.record(answer.levels, nowMs);
-    this.#services.trees?.recordAnswer(call.route.name, answer.demands, nowMs);
+    this.#services.trees?.recordAnswer(call.route.name, call.route.service, answer.demands, nowMs);
     this.#closer.recordTouched(call, answer.levels);
     call.allowance.settleChild(attempt.granted, answer.unspentAllowance);
     this.#closer.answer(call, answer);
--- a/packages/core/test/process/trees/TreeLoad.ts
+++ b/packages/core/test/process/trees/TreeLoad.ts
@@ -104,6 +104,7 @@
       (Object.keys(ROUTES) as RouteName[]).forEach((route) =>
         this.#trees.recordAnswer(
           route,
+          'entry',
           [{ service: 'leaf', calls: ROUTES[route].leafCalls, utilization }],
           this.#nowMs,
         ),
--- a/packages/wire/src/frameCodec.ts
+++ b/packages/wire/src/frameCodec.ts
@@ -1,13 +1,22 @@
-import { fromBinary, toBinary } from '@bufbuild/protobuf';
 import { BinaryWriter, WireType } from '@bufbuild/protobuf/wire';
 import { Result } from 'true-myth';
+import { createFrameTypes } from './createFrameTypes.js';
 import { FrameError } from './FrameError.js';
-import { BatchSchema, FrameSchema } from './generated/link_pb.js';
 import type { Frame } from './generated/link_pb.js';
 
 /** Largest message of a link in bytes. A section of a bundle (up to 1 MB) is the largest thing in one frame. */
 export const MAX_BATCH_BYTES = 2 * 1024 * 1024;
 
+/** A decoded batch: each frame has the field of its kind, and `body` tells the kind. */
+interface DecodedBatch {
+  readonly frames: readonly (Record<string, object> & { readonly body?: string })[];
+}
+
+/** Fields of messages that are messages themselves. */
+const NULLABLE_FIELDS = ['context', 'load'] as const;
+
+const TYPES = createFrameTypes();
+
 /** Number of the field `frames` of `Batch`. */
 const FRAMES_FIELD = 1;
 
@@ -16,7 +25,9 @@
  * @param frame - Frame to send.
  */
 export function encodeFrame(frame: Frame): Uint8Array {
-  return toBinary(FrameSchema, frame);
+  const { body } = frame;
+  const fields = body.case === undefined ? {} : { [body.case]: omitDefaults(body.value) };
+  return TYPES.frame.encode(fields).finish();
 }
 
 /**
@@ -40,11 +51,51 @@
     return Result.err(new FrameError('tooLarge', bytes.byteLength));
   }
   try {
-    const { frames } = fromBinary(BatchSchema, bytes, { readUnknownFields: false });
+    const { frames } = TYPES.batch.decode(bytes) as unknown as DecodedBatch;
     return frames.length === 0
       ? Result.err(new FrameError('empty', bytes.byteLength))
-      : Result.ok(frames);
+      : Result.ok(frames.map(toFrame));
   } catch {
     return Result.err(new FrameError('malformed', bytes.byteLength));
   }
 }
+
+/** A field with the default value is not written, as the schema's language has it; protobufjs would write it. */
+function omitDefaults(message: object): object {
+  const kept: Record<string, unknown> = {};
+  Object.entries(message).forEach(([name, value]: [string, unknown]) => {
+    if (!isDefault(value)) {
+      kept[name] = omitInside(value);
+    }
+  });
+  return kept;
+}
+
+function omitInside(value: unknown): unknown {
+  if (Array.isArray(value)) {
+    return value.map(omitInside);
+  }
+  const isMessage = typeof value === 'object' && value !== null && !(value instanceof Uint8Array);
+  return isMessage ? omitDefaults(value) : value;
+}
+
+function isDefault(value: unknown): boolean {
+  const isEmpty = (Array.isArray(value) || value instanceof Uint8Array) && value.length === 0;
+  return isEmpty || value === undefined || value === '' || value === 0 || value === false;
+}
+
+/** Messages inside a message are null when they are absent, and undefined in the generated types. */
+function toFrame(decoded: DecodedBatch['frames'][number]): Frame {
+  const kind = decoded.body;
+  const value = kind === undefined ? undefined : decoded[kind];
+  const body = value === undefined ? { case: undefined } : { case: kind, value: dropNulls(value) };
+  return { $typeName: 'tanagerpond.link.v1.Frame', body } as Frame;
+}
+
+function dropNulls(value: object): object {
+  const fields = value as Record<string, unknown>;
+  NULLABLE_FIELDS.filter((name) => fields[name] === null).forEach((name) => {
+    fields[name] = undefined;
+  });
+  return value;
+}
--- a/packages/wire/test/frameCodec.test.ts
+++ b/packages/wire/test/frameCodec.test.ts
@@ -1,4 +1,4 @@
-import { create, toBinary } from '@bufbuild/protobuf';
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import {
@@ -8,11 +8,24 @@
   FrameSchema,
   joinFrames,
   MAX_BATCH_BYTES,
+  type Frame,
 } from '../src/index.js';
 
 /** Seed of the random input; a failure prints the smallest counterexample. */
 const RUNS = { seed: 20_261, numRuns: 2_000 };
 
+/** Every field of a frame, those with default values too, without the class that a codec gives to its messages. */
+function toPlain({ body }: Frame): object {
+  const fields = FrameSchema.fields.find(({ localName }) => localName === body.case)?.message
+    ?.fields;
+  const value = body.value as unknown as Readonly<Record<string, unknown>>;
+  const values = (fields ?? []).map(({ localName }) => {
+    const field = value[localName];
+    return [localName, field instanceof Uint8Array ? [...field] : field];
+  });
+  return { case: body.case, values };
+}
+
 describe('frame codec', () => {
   it('guards against input of a peer that throws instead of being an error', () => {
     fc.assert(
@@ -52,7 +65,10 @@
           create(FrameSchema, { body: { case: 'ping', value: { sequence: offset } } }),
         ];
         const bytes = joinFrames(frames.map(encodeFrame));
-        expect(decodeBatch(bytes).unwrapOr([])).to.deep.equal(frames);
+        const decoded = decodeBatch(bytes).unwrapOr([]);
+        expect(decoded.map(toPlain)).to.deep.equal(frames.map(toPlain));
+        // The library of the generated code reads the same frames, so that the schema is what is on the wire.
+        expect(fromBinary(BatchSchema, bytes).frames).to.deep.equal(frames);
         const whole = toBinary(BatchSchema, create(BatchSchema, { frames }));
         expect(Buffer.from(whole).equals(bytes)).to.equal(true);
       }),
