--- a/packages/core/src/process/suspects/index.ts
+++ b/packages/core/src/process/suspects/index.ts
@@ -1,2 +1,3 @@
+export * from './BrokenRuns.js';
 export * from './SuspectPolicy.js';
 export * from './SuspectTable.js';
--- a/packages/core/src/request/calls/BackendRuns.ts
+++ b/packages/core/src/request/calls/BackendRuns.ts
@@ -1,6 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import { CrashReportSchema } from '@tanagerpond/wire';
 import type { AdmissionDecision, AdmissionEnd } from '../../process/admission/index.js';
+import { BrokenRuns } from '../../process/suspects/index.js';
 import type { BackendResult, HeaderPair } from '../../process/node/NodeMessage.js';
 import type { NodeServices } from '../../process/node/NodeServices.js';
 import { computeRetryAfter } from '../computeRetryAfter.js';
@@ -14,12 +15,6 @@
 /** Nodes of the service that hear of a crash; a service has about 7 instances on average. */
 const CRASH_REPORT_PEERS = 32;
 
-/** Time between a broken run and a refused connection that belong to one crash, in milliseconds. */
-const CONFIRM_MS = 1_000;
-
-/** Broken runs that are remembered; a backend server has fewer slots. */
-const BREAKS = 1_024;
-
 /** Base of the time after which a call that did not run may come back, in milliseconds. */
 const RETRY_AFTER_MS = 500;
 
@@ -46,7 +41,7 @@
   readonly #cancelChildren: (requestIds: readonly string[], nowMs: number) => void;
 
   /** Runs that broke lately and are not known to be crashes. */
-  #breaks: readonly { readonly fingerprint: string; readonly atMs: number }[] = [];
+  readonly #broken = new BrokenRuns();
 
   readonly #handlers: {
     readonly [Kind in BackendResult['kind']]: (
@@ -171,10 +166,7 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   confirmCrash(nowMs: number): void {
-    const fingerprints = this.#breaks
-      .filter(({ atMs }) => nowMs - atMs <= CONFIRM_MS)
-      .map(({ fingerprint }) => fingerprint);
-    this.#breaks = [];
+    const fingerprints = this.#broken.take(nowMs);
     if (fingerprints.length > 0) {
       this.#reportCrash(fingerprints, nowMs);
     }
@@ -185,8 +177,7 @@
       this.#reportCrash([fingerprint], nowMs);
       return;
     }
-    const recent = this.#breaks.filter(({ atMs }) => nowMs - atMs <= CONFIRM_MS);
-    this.#breaks = [...recent, { fingerprint, atMs: nowMs }].slice(-BREAKS);
+    this.#broken.add(fingerprint, nowMs);
   }
 
   #run(call: ExitCall, nowMs: number): void {
--- a/packages/core/test/process/suspects/SuspectTable.test.ts
+++ b/packages/core/test/process/suspects/SuspectTable.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { COUNTING_POLICY, SuspectTable } from '../../../src/process/suspects/index.js';
+import { BrokenRuns, COUNTING_POLICY, SuspectTable } from '../../../src/process/suspects/index.js';
 
 const BLOCK_MS = 600_000;
 
@@ -86,3 +86,13 @@
     expect(table.findState('innocent', 2_001)).to.equal('suspect');
   });
 });
+
+describe('broken runs', () => {
+  it('guards against a lost answer that counts as a crash long after, or twice', () => {
+    const broken = new BrokenRuns();
+    broken.add('early', 0);
+    broken.add('late', 1_500);
+    expect(broken.take(1_800)).to.deep.equal(['late']);
+    expect(broken.take(1_801)).to.deep.equal([]);
+  });
+});
--- a/packages/core/test/process/trees/TreeAdmission.test.ts
+++ b/packages/core/test/process/trees/TreeAdmission.test.ts
@@ -1,4 +1,6 @@
 import { expect } from 'chai';
+import { Trees } from '../../../src/process/trees/index.js';
+import { SeededSource } from '../../support/SeededSource.js';
 import { TreeLoad, type TreeOutcome } from './TreeLoad.js';
 
 /** Leaf calls of one browsing request and of one booking, as the load plays them. */
@@ -35,4 +37,18 @@
       expect(browse.refused, `demand ${demand}`).to.be.above(0);
     });
   });
+
+  it('guards against trees that are begun although a service rejects half of its calls', () => {
+    const trees = new Trees('entry', new SeededSource(5));
+    const load = { inFlight: 5, queued: 0, limit: 23 };
+    const demands = [{ service: 'leaf', calls: 8, utilization: 0.2 }];
+    let admitted = 0;
+    for (let nowMs = 0; nowMs < 4_000; nowMs += 10) {
+      trees.recordAnswer('browse', 'leaf', demands, nowMs);
+      trees.recordRefusal('leaf', load, true, nowMs + 5);
+      const decision = trees.admission.decide('browse', 3, nowMs);
+      admitted += Number(nowMs > 3_000 && decision.admitted);
+    }
+    expect(admitted).to.be.below(10);
+  });
 });
--- /dev/null
+++ b/packages/node/src/connection/peerTransports.ts
@@ -0,0 +1,36 @@
+import { connectPeer } from './connectPeer.js';
+import { connectTcpPeer } from './connectTcpPeer.js';
+import type { PeerCredentials } from './PeerCredentials.js';
+import type { LinkTransport } from './PeerLink.js';
+import { PeerServer, type InboundTransport, type PeerListener } from './PeerServer.js';
+import { TcpPeerServer } from './TcpPeerServer.js';
+
+/** How streams to peers are opened and accepted. */
+export interface PeerTransport {
+  /**
+   * Opens a stream to a peer.
+   * @param peer - Name of the VM.
+   * @param address - `IP:port` of its peer listener.
+   */
+  readonly connect: (peer: string, address: string) => LinkTransport;
+
+  /**
+   * Creates the listener for the streams of peers.
+   * @param accept - Takes each new stream.
+   */
+  readonly createListener: (accept: (accepted: InboundTransport) => void) => PeerListener;
+}
+
+/** Transports of peer links by their name in the settings. */
+export const PEER_TRANSPORTS: Readonly<
+  Record<'grpc' | 'tcp', (credentials: PeerCredentials) => PeerTransport>
+> = {
+  grpc: (credentials) => ({
+    connect: (peer, address) => connectPeer({ peer, address, credentials }),
+    createListener: (accept) => new PeerServer(credentials, accept),
+  }),
+  tcp: () => ({
+    connect: (_peer, address) => connectTcpPeer(address),
+    createListener: (accept) => new TcpPeerServer(accept),
+  }),
+};
--- a/packages/node/src/process/host/NodeProcess.ts
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -1,16 +1,8 @@
 import { randomBytes } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
 import type { membership, node } from '@tanagerpond/core';
-import {
-  buildFrame,
-  connectPeer,
-  connectTcpPeer,
-  PeerCredentials,
-  PeerLinks,
-  PeerServer,
-  TcpPeerServer,
-} from '../../connection/index.js';
-import type { InboundTransport, LinkTransport, PeerListener } from '../../connection/index.js';
+import { buildFrame, PeerCredentials, PeerLinks, PEER_TRANSPORTS } from '../../connection/index.js';
+import type { PeerListener } from '../../connection/index.js';
 import { OWN_BACKEND_DIALECT, OWN_EDGE_DIALECT } from '../../ports/index.js';
 import type { NodePorts, StateSource } from '../../ports/index.js';
 import { ReadinessListener, RequestListener } from '../../request/index.js';
@@ -50,25 +42,6 @@
   createSource: createPlatformReader,
 };
 
-/** How streams to peers are opened and accepted. */
-interface PeerTransport {
-  readonly connect: (peer: string, address: string) => LinkTransport;
-  readonly createListener: (accept: (accepted: InboundTransport) => void) => PeerListener;
-}
-
-const TRANSPORTS: Readonly<
-  Record<Settings['peers']['transport'], (credentials: PeerCredentials) => PeerTransport>
-> = {
-  grpc: (credentials) => ({
-    connect: (peer, address) => connectPeer({ peer, address, credentials }),
-    createListener: (accept) => new PeerServer(credentials, accept),
-  }),
-  tcp: () => ({
-    connect: (_peer, address) => connectTcpPeer(address),
-    createListener: (accept) => new TcpPeerServer(accept),
-  }),
-};
-
 /** Bytes of an incarnation. */
 const INCARNATION_BYTES = 16;
 
@@ -135,7 +108,7 @@
       startedMs: readNow(),
       seeds: settings.peers.seeds.map(({ host }) => host),
     });
-    const transport = TRANSPORTS[settings.peers.transport](createCredentials(settings));
+    const transport = PEER_TRANSPORTS[settings.peers.transport](createCredentials(settings));
     const common = { store: this.#store, counters: this.#counters, log, now: readNow };
     const publish = (message: node.NodeMessage): void => this.#publish(message);
     this.#links = new PeerLinks({
--- a/packages/wire/src/createFrameTypes.ts
+++ b/packages/wire/src/createFrameTypes.ts
@@ -1,10 +1,9 @@
-import { clone, toBinary } from '@bufbuild/protobuf';
+import { clone, create, toBinary } from '@bufbuild/protobuf';
 import {
   FileDescriptorProtoSchema,
   FileDescriptorSetSchema,
   type DescriptorProto,
 } from '@bufbuild/protobuf/wkt';
-import { create } from '@bufbuild/protobuf';
 import protobuf from 'protobufjs';
 import descriptor from 'protobufjs/ext/descriptor/index.js';
 import { file_link } from './generated/link_pb.js';
