--- a/packages/core/src/request/calls/EntryCloser.ts
+++ b/packages/core/src/request/calls/EntryCloser.ts
@@ -119,14 +119,26 @@
     levels.forEach((level) => parent?.touched.add(level.service));
   }
 
-  #logRefusal({ context, parentCallId }: EntryCall, { reason, outcome }: Refusal): void {
-    const { rootId: root, workspace, route } = context;
+  #logRefusal(call: EntryCall, { reason, outcome, detail }: Refusal): void {
+    const { context, parentCallId, attempt, once } = call;
+    const { rootId: root, workspace, route, priority, bundleVersion } = context;
     this.#services.outbox.add({
       kind: 'log',
       level: 'debug',
       part: parentCallId === undefined ? 'caller' : 'egress',
       text: 'call was refused',
-      fields: { root, workspace, route, reason, outcome },
+      fields: {
+        root,
+        ...(once?.kind === 'own' ? { request: once.id } : {}),
+        workspace,
+        route,
+        priority,
+        version: bundleVersion,
+        ...(attempt === undefined ? {} : { vm: attempt.vm }),
+        reason,
+        outcome,
+        ...(detail === undefined ? {} : { detail }),
+      },
     });
   }
 
--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -3,7 +3,7 @@
 import { cac } from 'cac';
 import type { NodePorts } from '../ports/index.js';
 import { NodeProcess } from '../process/host/index.js';
-import { createLogger } from '../process/log/index.js';
+import { BoundedLineStream, createLogger } from '../process/log/index.js';
 import { loadSettings, SettingsReload } from '../process/settings/index.js';
 import type { Settings } from '../process/settings/index.js';
 
@@ -12,6 +12,9 @@
   count: suspects.COUNTING_POLICY,
 } as const;
 
+/** Bytes of log lines that may wait for a slow reader; a few seconds of lines at the usual rate. */
+const LOG_BACKLOG_BYTES = 256 * 1024;
+
 /** Exit code of a settings file or a command line that cannot be used. */
 const EXIT_USAGE = 2;
 
@@ -48,7 +51,12 @@
 async function runProcess(file: string, settings: Settings, ports?: NodePorts): Promise<number> {
   const log = createLogger({
     level: settings.log.level,
-    stream: process.stdout,
+    stream: new BoundedLineStream({
+      target: process.stdout,
+      now: () => performance.now(),
+      linesPerSecond: settings.log.linesPerSecond,
+      backlogBytes: LOG_BACKLOG_BYTES,
+    }),
     now: () => performance.now(),
   });
   await using host = new NodeProcess({
--- /dev/null
+++ b/packages/node/src/process/log/BoundedLineStream.ts
@@ -0,0 +1,75 @@
+import { Writable } from 'node:stream';
+
+/** Options of the stream; `now` gives monotonic milliseconds. */
+export interface BoundedLineStreamOptions {
+  readonly target: Writable;
+  readonly now: () => number;
+  /** Lines that are passed on in a second, on average. */
+  readonly linesPerSecond: number;
+  /** Bytes that may wait for a slow reader. */
+  readonly backlogBytes: number;
+}
+
+const SECOND_MS = 1_000;
+
+/** Seconds of lines that may come at once. */
+const BURST_SECONDS = 2;
+
+/**
+ * Passes log lines on and never waits: a line beyond the rate, or while a slow reader leaves too many bytes behind, is
+ * left out and counted. The next line that is passed on is followed by the count.
+ */
+export class BoundedLineStream extends Writable {
+  readonly #options: BoundedLineStreamOptions;
+
+  #tokens: number;
+
+  #refilledMs: number;
+
+  #omitted = 0;
+
+  #omittedTotal = 0;
+
+  /** @param options - Where lines go and how many. */
+  constructor(options: BoundedLineStreamOptions) {
+    super({ decodeStrings: false });
+    this.#options = options;
+    this.#tokens = BURST_SECONDS * options.linesPerSecond;
+    this.#refilledMs = options.now();
+  }
+
+  /** Lines that were left out since the start. */
+  get omitted(): number {
+    return this.#omittedTotal;
+  }
+
+  override _write(chunk: Buffer | string, _encoding: BufferEncoding, done: () => void): void {
+    const { target, backlogBytes } = this.#options;
+    if (target.writableLength > backlogBytes || !this.#takeToken()) {
+      this.#omitted += 1;
+      this.#omittedTotal += 1;
+      done();
+      return;
+    }
+    target.write(chunk);
+    if (this.#omitted > 0) {
+      const fields = { level: 'warn', message: 'log: lines were left out', lines: this.#omitted };
+      target.write(`${JSON.stringify(fields)}\n`);
+      this.#omitted = 0;
+    }
+    done();
+  }
+
+  #takeToken(): boolean {
+    const { now, linesPerSecond } = this.#options;
+    const nowMs = now();
+    const refill = ((nowMs - this.#refilledMs) * linesPerSecond) / SECOND_MS;
+    this.#tokens = Math.min(BURST_SECONDS * linesPerSecond, this.#tokens + refill);
+    this.#refilledMs = nowMs;
+    if (this.#tokens < 1) {
+      return false;
+    }
+    this.#tokens -= 1;
+    return true;
+  }
+}
--- a/packages/node/src/process/settings/settingsSchema.ts
+++ b/packages/node/src/process/settings/settingsSchema.ts
@@ -65,6 +65,7 @@
   drain: z.strictObject({ limitMs: createInteger(0, 3_600_000).default(30_000) }),
   log: z.strictObject({
     level: z.enum(['debug', 'info', 'warn', 'error'], 'debug, info, warn or error').default('info'),
+    linesPerSecond: createInteger(1, 100_000).default(200),
   }),
   tls: z.strictObject({
     plainText: createSwitch(),
--- a/packages/node/test/bin/tanagerpondNode.test.ts
+++ b/packages/node/test/bin/tanagerpondNode.test.ts
@@ -115,6 +115,9 @@
     await waitFor('the reload', () => out.includes('settings: reloaded'));
     expect(out).to.include('"needsRestart":"platform.wait-ms"');
     expect(exitCode).to.equal(undefined);
+    child?.kill('SIGTERM');
+    await waitFor('the exit', () => exitCode !== undefined);
+    expect(exitCode).to.equal(0);
   });
 
   it('guards against a drain by the admin listener that does not end the process', async () => {
--- /dev/null
+++ b/packages/node/test/process/BoundedLineStream.test.ts
@@ -0,0 +1,60 @@
+import { Writable } from 'node:stream';
+import { expect } from 'chai';
+import { BoundedLineStream } from '../../src/process/log/index.js';
+
+describe('the bounded stream of log lines', () => {
+  let nowMs: number;
+  let written: string[];
+  let release: (() => void) | undefined;
+  let isBlocked: boolean;
+  let stream: BoundedLineStream;
+
+  beforeEach(() => {
+    nowMs = 0;
+    written = [];
+    isBlocked = false;
+    const target = new Writable({
+      decodeStrings: false,
+      write(chunk: string, _encoding, done) {
+        written.push(String(chunk));
+        if (isBlocked) {
+          release = done;
+          return;
+        }
+        done();
+      },
+    });
+    stream = new BoundedLineStream({
+      target,
+      now: () => nowMs,
+      linesPerSecond: 10,
+      backlogBytes: 100,
+    });
+  });
+
+  it('guards against a storm of lines that takes the processor, and against lines that vanish uncounted', () => {
+    for (let line = 0; line < 50; line += 1) {
+      stream.write(`line ${line}\n`);
+    }
+    expect(written).to.have.length(20);
+    nowMs = 1_000;
+    stream.write('later\n');
+    expect(written.slice(20)).to.deep.equal([
+      'later\n',
+      '{"level":"warn","message":"log: lines were left out","lines":30}\n',
+    ]);
+    expect(stream.omitted).to.equal(30);
+  });
+
+  it('guards against a reader that does not read and makes the process keep its lines', () => {
+    isBlocked = true;
+    for (let line = 0; line < 15; line += 1) {
+      stream.write(`${'x'.repeat(49)}\n`);
+    }
+    expect(stream.omitted).to.be.within(11, 13);
+    isBlocked = false;
+    release?.();
+    stream.write('after\n');
+    expect(written.at(-2)).to.equal('after\n');
+  });
+});
