--- a/packages/core/src/process/trees/TreeAdmission.ts
+++ b/packages/core/src/process/trees/TreeAdmission.ts
@@ -18,6 +18,13 @@
  */
 const SMALLEST_SCALE = 0.15;
 
+/**
+ * Below this utilization, the level falls by this much in one step whatever is admitted, so that three shed classes are
+ * back within 3 s of the end of an overload.
+ */
+const IDLE_UTILIZATION = 0.5;
+const IDLE_STEP = 0.125;
+
 /** Lowest class, the first that is shed. */
 const LOWEST_CLASS = 3;
 
@@ -109,7 +116,8 @@
     // A service that nothing is heard of is found again by letting more requests through.
     const utilization = this.#utilization.read(service, nowMs) ?? 0;
     const error = Math.min(LARGEST_ERROR, (utilization - TARGET) / TARGET);
-    const change = GAIN * error * Math.max(SMALLEST_SCALE, 1 - (level % 1));
+    const isIdle = utilization < IDLE_UTILIZATION;
+    const change = isIdle ? -IDLE_STEP : GAIN * error * Math.max(SMALLEST_SCALE, 1 - (level % 1));
     const next = Math.max(0, Math.min(LOWEST_CLASS, level + change));
     if (next === 0 && utilization === 0) {
       this.#levels.delete(service);
--- a/packages/core/test/process/trees/TreeAdmission.test.ts
+++ b/packages/core/test/process/trees/TreeAdmission.test.ts
@@ -67,4 +67,21 @@
     }
     expect(admitted).to.be.below(10);
   });
+
+  it('guards against requests that are shed long after a service has recovered', () => {
+    const trees = new Trees('entry', new SeededSource(5));
+    const report = (utilization: number, nowMs: number): void =>
+      trees.recordAnswer('browse', 'entry', [{ service: 'leaf', calls: 8, utilization }], nowMs);
+    const countAdmitted = (fromMs: number, toMs: number, utilization: number): number => {
+      let admitted = 0;
+      for (let nowMs = fromMs; nowMs < toMs; nowMs += 10) {
+        report(utilization, nowMs);
+        admitted += Number(trees.admission.decide('browse', 3, nowMs).admitted);
+      }
+      return admitted;
+    };
+    expect(countAdmitted(0, 10_000, 4)).to.be.below(250);
+    countAdmitted(10_000, 13_000, 0.1);
+    expect(countAdmitted(13_000, 14_000, 0.1)).to.equal(100);
+  });
 });
