--- a/packages/core/src/request/calls/EntryCall.ts
+++ b/packages/core/src/request/calls/EntryCall.ts
@@ -40,6 +40,8 @@
   readonly bodyDigest: string;
   readonly context: CallContext;
   readonly keyDigest?: string;
+  /** Id that the caller gave to the attempt, for logs. */
+  readonly attemptId?: string;
   readonly allowance: AttemptAllowance;
   /** Extra attempts that the parent gave. */
   readonly grantedByParent: number;
--- a/packages/core/src/request/calls/EntryCloser.ts
+++ b/packages/core/src/request/calls/EntryCloser.ts
@@ -120,16 +120,16 @@
   }
 
   #logRefusal(call: EntryCall, { reason, outcome, detail }: Refusal): void {
-    const { context, parentCallId, attempt, once } = call;
+    const { context, parentCallId, attempt, attemptId } = call;
     const { rootId: root, workspace, route, priority, bundleVersion } = context;
     this.#services.outbox.add({
       kind: 'log',
-      level: 'debug',
+      level: 'info',
       part: parentCallId === undefined ? 'caller' : 'egress',
       text: 'call was refused',
       fields: {
         root,
-        ...(once?.kind === 'own' ? { request: once.id } : {}),
+        ...(attemptId === undefined ? {} : { request: attemptId }),
         workspace,
         route,
         priority,
--- a/packages/core/src/request/calls/admitCaller.ts
+++ b/packages/core/src/request/calls/admitCaller.ts
@@ -32,6 +32,8 @@
   /** Time until the deadline, in milliseconds. */
   readonly remainingMs: number;
   readonly once?: OnceIdentity;
+  /** Id that the caller gave to the attempt, where the edge has one. */
+  readonly attemptId?: string;
 }
 
 /**
@@ -63,6 +65,7 @@
           remainingMs: Math.min(remainingMs, route.timeoutMs ?? remainingMs),
           ...caller,
           ...(once === undefined ? {} : { once }),
+          ...readAttemptId(request),
         })),
       ),
   );
@@ -117,9 +120,9 @@
     return Result.ok(undefined);
   }
   if (header.kind === 'absent') {
-    const attempt = identity.readHeader(request.headers, ATTEMPT_HEADER);
+    const { attemptId } = readAttemptId(request);
     return Result.ok(
-      attempt.kind === 'present' ? { kind: 'own', id: `caller ${attempt.value}` } : undefined,
+      attemptId === undefined ? undefined : { kind: 'own', id: `caller ${attemptId}` },
     );
   }
   const parsed = header.kind === 'present' ? parseTicket(header.value) : undefined;
@@ -129,3 +132,8 @@
   const { vm, incarnation } = parsed.ticket;
   return Result.ok({ kind: 'ticket', text: header.value, vm, incarnation });
 }
+
+function readAttemptId({ headers }: ArrivedRequest): { readonly attemptId?: string } {
+  const attempt = identity.readHeader(headers, ATTEMPT_HEADER);
+  return attempt.kind === 'present' ? { attemptId: attempt.value } : {};
+}
--- a/packages/core/src/request/calls/createEntryCall.ts
+++ b/packages/core/src/request/calls/createEntryCall.ts
@@ -26,7 +26,7 @@
   nowMs: number,
   place: EntryPlace,
 ): EntryCall {
-  const { route, target, headers, keyDigest, once } = admitted;
+  const { route, target, headers, keyDigest, once, attemptId } = admitted;
   const { requestId, method, bodySize, bodyDigest } = request;
   return {
     requestId,
@@ -45,6 +45,7 @@
     mayHaveRun: false,
     ...(keyDigest === undefined ? {} : { keyDigest }),
     ...(once === undefined ? {} : { once }),
+    ...(attemptId === undefined ? {} : { attemptId }),
     ...place,
   };
 }
