--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -1,12 +1,8 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
-import { getRequestListener } from '@hono/node-server';
-import type { HttpBindings } from '@hono/node-server';
-import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { identity, request } from '@tanagerpond/core';
 import type { node } from '@tanagerpond/core';
-import { Hono } from 'hono';
 import type { EdgeDialect } from '../ports/index.js';
 import type { BodyStore, HeldBody } from '../process/bodies/index.js';
 import type { Counters, Latency } from '../process/metrics/index.js';
@@ -51,6 +47,9 @@
 /** Header by which a backend server names the call that an outgoing call belongs to. */
 const CALL_HEADER = 'tanagerpond-call';
 
+/** Host and port as a URL may have them; anything else could be read as another host further on. */
+const HOST_PATTERN = /^[\w.~%!$&'()*+,;=:[\]-]+$/;
+
 /** Time between two checks of the header and request time limits, in milliseconds. */
 const CHECK_MS = 1_000;
 
@@ -66,9 +65,6 @@
 
   readonly #pending = new Map<string, PendingRequest>();
 
-  /** Requests that got through the library's own checks. */
-  readonly #handled = new WeakSet<IncomingMessage>();
-
   readonly #server: Server;
 
   #draining = false;
@@ -76,16 +72,6 @@
   /** @param options - Limits and where requests go. */
   constructor(options: RequestListenerOptions) {
     this.#options = options;
-    const app = new Hono<{ Bindings: HttpBindings }>();
-    app.all('*', async (context) => {
-      await this.#handle(context.env.incoming, context.env.outgoing);
-      return RESPONSE_ALREADY_SENT;
-    });
-    const listener = getRequestListener(app.fetch, {
-      overrideGlobalObjects: false,
-      autoCleanupIncoming: false,
-      errorHandler: () => undefined,
-    });
     this.#server = createServer(
       {
         maxHeaderSize: options.limits.headerBytes,
@@ -95,7 +81,7 @@
         connectionsCheckingInterval: CHECK_MS,
       },
       (incoming, outgoing) => {
-        void listener(incoming, outgoing).then(() => this.#refuseUnhandled(incoming, outgoing));
+        void this.#handle(incoming, outgoing);
       },
     );
     this.#server.maxConnections = options.limits.connections;
@@ -188,7 +174,10 @@
   }
 
   async #handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-    this.#handled.add(incoming);
+    if (!HOST_PATTERN.test(incoming.headers.host ?? '')) {
+      this.#refuseHost(outgoing);
+      return;
+    }
     const arrivedMs = this.#options.now();
     const { limits, store, part, counters } = this.#options;
     counters.count(`${part}_requests`);
@@ -263,13 +252,10 @@
     writeAnswer(pending.outgoing, answer, this.#draining);
   }
 
-  /** Refuses a request that the library rejected before the handler, such as one with an invalid `host`. */
-  #refuseUnhandled(incoming: IncomingMessage, outgoing: ServerResponse): void {
-    if (!this.#handled.has(incoming) && !outgoing.headersSent) {
-      this.#options.counters.count(`${this.#options.part}_malformed`);
-      const refusal = request.createRefusal('requestMalformed');
-      writeAnswer(outgoing, this.#options.dialect.buildRefusal(refusal, []), true);
-    }
+  #refuseHost(outgoing: ServerResponse): void {
+    this.#options.counters.count(`${this.#options.part}_malformed`);
+    const refusal = request.createRefusal('requestMalformed', { detail: 'host' });
+    writeAnswer(outgoing, this.#options.dialect.buildRefusal(refusal, []), true);
   }
 
   #refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
