--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -4,7 +4,7 @@
 
 // Every rule set here departs from the Airbnb guide for a reason given in docs/style.md.
 export default defineConfig([
-  globalIgnores(['**/dist/**', '**/generated/**', 'results/**']),
+  globalIgnores(['**/dist/**', '**/generated/**', 'results/**', 'target/**', 'journal/**']),
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -56,7 +56,7 @@
       now: () => performance.now(),
       linesPerSecond: settings.log.linesPerSecond,
       backlogBytes: LOG_BACKLOG_BYTES,
-    }),
+    }).input,
     now: () => performance.now(),
   });
   await using host = new NodeProcess({
--- a/packages/node/src/process/log/BoundedLineStream.ts
+++ b/packages/node/src/process/log/BoundedLineStream.ts
@@ -1,6 +1,6 @@
 import { Writable } from 'node:stream';
 
-/** Options of the stream; `now` gives monotonic milliseconds. */
+/** Options of the lines; `now` gives monotonic milliseconds. */
 export interface BoundedLineStreamOptions {
   readonly target: Writable;
   readonly now: () => number;
@@ -19,7 +19,10 @@
  * Passes log lines on and never waits: a line beyond the rate, or while a slow reader leaves too many bytes behind, is
  * left out and counted. The next line that is passed on is followed by the count.
  */
-export class BoundedLineStream extends Writable {
+export class BoundedLineStream {
+  /** Takes the lines. */
+  readonly input: Writable;
+
   readonly #options: BoundedLineStreamOptions;
 
   #tokens: number;
@@ -32,7 +35,13 @@
 
   /** @param options - Where lines go and how many. */
   constructor(options: BoundedLineStreamOptions) {
-    super({ decodeStrings: false });
+    this.input = new Writable({
+      decodeStrings: false,
+      write: (line: string, _encoding, done) => {
+        this.#pass(line);
+        done();
+      },
+    });
     this.#options = options;
     this.#tokens = BURST_SECONDS * options.linesPerSecond;
     this.#refilledMs = options.now();
@@ -43,21 +52,19 @@
     return this.#omittedTotal;
   }
 
-  override _write(chunk: Buffer | string, _encoding: BufferEncoding, done: () => void): void {
+  #pass(line: string): void {
     const { target, backlogBytes } = this.#options;
     if (target.writableLength > backlogBytes || !this.#takeToken()) {
       this.#omitted += 1;
       this.#omittedTotal += 1;
-      done();
       return;
     }
-    target.write(chunk);
+    target.write(line);
     if (this.#omitted > 0) {
       const fields = { level: 'warn', message: 'log: lines were left out', lines: this.#omitted };
       target.write(`${JSON.stringify(fields)}\n`);
       this.#omitted = 0;
     }
-    done();
   }
 
   #takeToken(): boolean {
--- a/packages/node/test/process/BoundedLineStream.test.ts
+++ b/packages/node/test/process/BoundedLineStream.test.ts
@@ -34,11 +34,11 @@
 
   it('guards against a storm of lines that takes the processor, and against lines that vanish uncounted', () => {
     for (let line = 0; line < 50; line += 1) {
-      stream.write(`line ${line}\n`);
+      stream.input.write(`line ${line}\n`);
     }
     expect(written).to.have.length(20);
     nowMs = 1_000;
-    stream.write('later\n');
+    stream.input.write('later\n');
     expect(written.slice(20)).to.deep.equal([
       'later\n',
       '{"level":"warn","message":"log: lines were left out","lines":30}\n',
@@ -49,12 +49,12 @@
   it('guards against a reader that does not read and makes the process keep its lines', () => {
     isBlocked = true;
     for (let line = 0; line < 15; line += 1) {
-      stream.write(`${'x'.repeat(49)}\n`);
+      stream.input.write(`${'x'.repeat(49)}\n`);
     }
     expect(stream.omitted).to.be.within(11, 13);
     isBlocked = false;
     release?.();
-    stream.write('after\n');
+    stream.input.write('after\n');
     expect(written.at(-2)).to.equal('after\n');
   });
 });
