--- a/packages/node/src/ports/ownEdgeDialect.ts
+++ b/packages/node/src/ports/ownEdgeDialect.ts
@@ -1,9 +1,15 @@
 import { buildRefusalAnswer } from '../request/buildRefusalAnswer.js';
 import type { EdgeDialect } from './EdgeDialect.js';
 
+/**
+ * Names an attempt that runs at most once without a ticket. Only a platform whose callers give each attempt an id of its
+ * own may set it; a caller that repeated one at another node would run twice.
+ */
+const ATTEMPT_HEADER = 'tanagerpond-attempt';
+
 /** The product's own interface towards callers. */
 export const OWN_EDGE_DIALECT: EdgeDialect = {
-  readRequest: (headers) => headers,
+  readRequest: (headers) => headers.filter(([name]) => name !== ATTEMPT_HEADER),
   writeAnswer: (headers) => headers,
   buildRefusal: (refusal, headers) => buildRefusalAnswer(refusal, headers),
 };
--- a/packages/node/test/request/RequestListener.test.ts
+++ b/packages/node/test/request/RequestListener.test.ts
@@ -245,4 +245,12 @@
     expect(message.request.headers).to.deep.include(['x-b', '2']);
     expect(JSON.stringify(message.request)).to.not.include('token');
   });
+
+  it('guards against a caller that names its attempt itself and gets around the ticket', () => {
+    const headers = [
+      ['host', 'a'],
+      ['tanagerpond-attempt', 'again'],
+    ] as const;
+    expect(OWN_EDGE_DIALECT.readRequest(headers)).to.deep.equal([['host', 'a']]);
+  });
 });
