--- a/packages/core/src/process/shares/OwnShare.ts
+++ b/packages/core/src/process/shares/OwnShare.ts
@@ -100,6 +100,14 @@
     return nowMs >= this.#readyMs;
   }
 
+  /**
+   * Measures the rest of the wait after the start; 0 when it is over.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  measureWaitMs(nowMs: number): number {
+    return Math.max(0, this.#readyMs - nowMs);
+  }
+
   /**
    * Answers a holder that asks for the whole share.
    * @param holder - VM that asks.
--- a/packages/core/src/process/shares/RequestQueue.ts
+++ b/packages/core/src/process/shares/RequestQueue.ts
@@ -21,6 +21,8 @@
 
   readonly #random: time.RandomSource;
 
+  readonly #measureWaitMs: (nowMs: number) => number;
+
   readonly #workspaceByRequest = new Map<string, string>();
 
   /** Requests that can never be granted, to be denied on the next tick. */
@@ -31,10 +33,16 @@
   /**
    * @param pool - Pool of the node, used besides borrowed tokens.
    * @param random - Source of the jitter in the times to come back.
+   * @param measureWaitMs - Time until the node can have tokens at all, in milliseconds.
    */
-  constructor(pool: TokenPool, random: time.RandomSource) {
+  constructor(
+    pool: TokenPool,
+    random: time.RandomSource,
+    measureWaitMs: (nowMs: number) => number = () => 0,
+  ) {
     this.#pool = pool;
     this.#random = random;
+    this.#measureWaitMs = measureWaitMs;
   }
 
   /**
@@ -99,7 +107,7 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   advance(nowMs: number): readonly ShareCommand[] {
-    const hopeless = [...this.#hopeless].map((requestId) => this.#deny(requestId));
+    const hopeless = [...this.#hopeless].map((requestId) => this.#deny(requestId, nowMs));
     const decided = [...this.demands].flatMap(([name, demand]) => {
       demand.advance(nowMs);
       const commands = [...this.drain(name, nowMs), ...this.#denyOverdue(demand, nowMs)];
@@ -128,10 +136,13 @@
     return commands;
   }
 
-  /** Denies every waiting request. */
-  denyAll(): readonly ShareCommand[] {
+  /**
+   * Denies every waiting request.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  denyAll(nowMs: number): readonly ShareCommand[] {
     const waiting = [...this.#workspaceByRequest.keys(), ...this.#hopeless];
-    return waiting.map((requestId) => this.#deny(requestId));
+    return waiting.map((requestId) => this.#deny(requestId, nowMs));
   }
 
   /** Forgets borrowed tokens and the estimates; waiting requests stay until they are denied. */
@@ -169,13 +180,14 @@
   #denyOverdue(demand: WorkspaceDemand, nowMs: number): readonly ShareCommand[] {
     return [...demand.waiting]
       .filter(([, deadlineMs]) => deadlineMs <= nowMs)
-      .map(([requestId]) => this.#deny(requestId, demand.workspace.rate));
+      .map(([requestId]) => this.#deny(requestId, nowMs, demand.workspace.rate));
   }
 
-  #deny(requestId: string, rate = Number.POSITIVE_INFINITY): ShareCommand {
+  #deny(requestId: string, nowMs: number, rate = Number.POSITIVE_INFINITY): ShareCommand {
     this.cancel(requestId);
     const meanMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, 1_000 / rate));
-    const retryAfterMs = Math.round(meanMs * (1 + this.#random.next()));
+    const jitteredMs = meanMs * (1 + this.#random.next());
+    const retryAfterMs = Math.round(this.#measureWaitMs(nowMs) + jitteredMs);
     return { kind: 'denied', requestId, retryAfterMs };
   }
 }
--- a/packages/core/src/process/shares/ShareLedger.ts
+++ b/packages/core/src/process/shares/ShareLedger.ts
@@ -74,7 +74,7 @@
     this.#domain = new DomainShares(this.#pool, ids);
     this.#ranking = new HolderRanking(self, view);
     this.#borrower = new TokenBorrower(ids, Math.floor(random.next() * CURSOR_RANGE));
-    this.#queue = new RequestQueue(this.#pool, random);
+    this.#queue = new RequestQueue(this.#pool, random, (nowMs) => this.#measureWaitMs(nowMs));
     this.#startedMs = startedMs;
     this.#lastMs = startedMs;
   }
@@ -179,7 +179,7 @@
     const clockMs = this.#settle(nowMs);
     this.#released = true;
     return [
-      ...this.#queue.denyAll(),
+      ...this.#queue.denyAll(clockMs),
       ...this.#borrower.release(this.#queue.demands.values(), Number.POSITIVE_INFINITY),
       ...this.#domain.release(clockMs),
     ];
@@ -330,6 +330,12 @@
     return this.#ranking.isHolder(this.#own.measureFreeMs(nowMs), leaseMs);
   }
 
+  /** A node that has a borrowed share grants from it during its own wait after the start. */
+  #measureWaitMs(nowMs: number): number {
+    const needsNoWait = this.#bundle === undefined || this.#domain.count() > 0;
+    return needsNoWait ? 0 : this.#own.measureWaitMs(nowMs);
+  }
+
   #computeSubleaseMs(): number {
     return computeSubleaseMs(this.#bundle?.fleet.shareLeaseMs ?? 0);
   }
--- a/packages/core/test/process/shares/ShareLedger.test.ts
+++ b/packages/core/test/process/shares/ShareLedger.test.ts
@@ -29,6 +29,15 @@
     expect(granted).to.have.length(10);
   });
 
+  it('guards against a caller that is told to come back while its node may not grant anything yet', () => {
+    const ledger = createSingleLedger();
+    ledger.applyBundle(createSingleBundle(10), 0);
+    ledger.request('ferry', 'a', 0);
+    const denials = [0, 50, 100, 150].flatMap((nowMs) => ledger.advance(nowMs));
+    const [denied] = denials.flatMap((command) => (command.kind === 'denied' ? [command] : []));
+    expect(100 + denied.retryAfterMs).to.be.within(READY_MS, READY_MS + 500);
+  });
+
   it('guards against requests of a workspace that the bundle does not have waiting for ever', () => {
     const ledger = createSingleLedger();
     ledger.applyBundle(createSingleBundle(10), 0);
