--- a/packages/core/src/process/node/createNodeServices.ts
+++ b/packages/core/src/process/node/createNodeServices.ts
@@ -40,6 +40,8 @@
   readonly suspects?: suspects.SuspectPolicy;
   /** Part by which the sum over the fleet may exceed the rate and burst of a workspace; 0 by default. */
   readonly rateExcess?: number;
+  /** Time for which a rate that a bundle lowers stays as it was, in milliseconds; 0 by default. */
+  readonly rateLowerAfterMs?: number;
   /** Draws unguessable call tokens; random unless a test needs fixed ones. */
   readonly createToken?: () => string;
   /** Secret of the tickets; random unless a test needs a fixed one. */
@@ -70,6 +72,7 @@
       random,
       startedMs,
       excess: options.rateExcess ?? 0,
+      lowerAfterMs: options.rateLowerAfterMs ?? 0,
     }),
     admission: new admission.AdmissionQueue({
       ...INITIAL_LIMITS,
--- /dev/null
+++ b/packages/core/src/process/shares/LoweredRates.ts
@@ -0,0 +1,89 @@
+import type { Workspace } from '@tanagerpond/bundle';
+
+/** Rates by workspace. */
+type Rates = ReadonlyMap<string, Workspace>;
+
+/**
+ * Rates in force while a new bundle lowers some of them. The callers of a workspace still send at the earlier rate when a
+ * lower one arrives; for a set time they keep it. Everything else changes at once.
+ */
+export class LoweredRates {
+  readonly #delayMs: number;
+
+  #target: Rates = new Map();
+
+  #inForce: Rates = new Map();
+
+  /** End of the earlier rate, by workspace. */
+  readonly #dueMs = new Map<string, number>();
+
+  /** @param delayMs - Time for which an earlier, higher rate stays in force, in milliseconds. */
+  constructor(delayMs: number) {
+    this.#delayMs = delayMs;
+  }
+
+  /**
+   * Takes the rates of a bundle.
+   * @param target - Rates of the bundle.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @returns The rates that are in force now.
+   */
+  apply(target: Rates, nowMs: number): Rates {
+    target.forEach((wanted, name) => this.#schedule(name, wanted, nowMs));
+    this.#target = target;
+    this.#update(nowMs);
+    return this.#inForce;
+  }
+
+  /**
+   * Ends earlier rates whose time is over.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @returns The rates that are in force now, or undefined when none has changed.
+   */
+  advance(nowMs: number): Rates | undefined {
+    if (![...this.#dueMs.values()].some((dueMs) => dueMs <= nowMs)) {
+      return undefined;
+    }
+    this.#update(nowMs);
+    return this.#inForce;
+  }
+
+  /** A second lowering does not prolong the first one, so that a series of bundles cannot keep a rate for ever. */
+  #schedule(name: string, wanted: Workspace, nowMs: number): void {
+    const known = this.#inForce.get(name);
+    const isLower = known !== undefined && isLowered(known, wanted);
+    if (!isLower) {
+      this.#dueMs.delete(name);
+    } else if (!this.#dueMs.has(name)) {
+      this.#dueMs.set(name, nowMs + this.#delayMs);
+    }
+  }
+
+  #update(nowMs: number): void {
+    const inForce = new Map<string, Workspace>();
+    this.#target.forEach((wanted, name) => {
+      const known = this.#inForce.get(name);
+      const isKept = (this.#dueMs.get(name) ?? Number.NEGATIVE_INFINITY) > nowMs;
+      if (!isKept) {
+        this.#dueMs.delete(name);
+      }
+      inForce.set(name, isKept && known !== undefined ? keepHigher(known, wanted) : wanted);
+    });
+    [...this.#dueMs.keys()]
+      .filter((name) => !inForce.has(name))
+      .forEach((name) => this.#dueMs.delete(name));
+    this.#inForce = inForce;
+  }
+}
+
+function isLowered(known: Workspace, wanted: Workspace): boolean {
+  return wanted.rate < known.rate || wanted.burst < known.burst;
+}
+
+function keepHigher(known: Workspace, wanted: Workspace): Workspace {
+  return {
+    ...wanted,
+    rate: Math.max(known.rate, wanted.rate),
+    burst: Math.max(known.burst, wanted.burst),
+  };
+}
--- a/packages/core/src/process/shares/ShareLedger.ts
+++ b/packages/core/src/process/shares/ShareLedger.ts
@@ -6,6 +6,7 @@
 import { HolderRanking } from './HolderRanking.js';
 import { isFiniteFrame } from './isFiniteFrame.js';
 import { LeaseIds } from './LeaseIds.js';
+import { LoweredRates } from './LoweredRates.js';
 import { mergeReturns } from './mergeReturns.js';
 import { OwnShare } from './OwnShare.js';
 import { RequestQueue } from './RequestQueue.js';
@@ -29,6 +30,8 @@
   readonly startedMs: number;
   /** Part by which the sum over the fleet may exceed rate and burst; 0 by default. */
   readonly excess?: number;
+  /** Time for which a rate that a bundle lowers stays as it was, in milliseconds; 0 by default. */
+  readonly lowerAfterMs?: number;
 }
 
 /**
@@ -45,6 +48,8 @@
 
   readonly #excess: number;
 
+  readonly #rates: LoweredRates;
+
   readonly #own: OwnShare;
 
   readonly #domain: DomainShares;
@@ -66,8 +71,10 @@
   #released = false;
 
   /** @param options - Identity, membership view, random source and start time in milliseconds. */
-  constructor({ self, membership: view, random, startedMs, excess = 0 }: ShareLedgerOptions) {
+  constructor(options: ShareLedgerOptions) {
+    const { self, membership: view, random, startedMs, excess = 0, lowerAfterMs = 0 } = options;
     this.#excess = excess;
+    this.#rates = new LoweredRates(lowerAfterMs);
     const ids = new LeaseIds(self.incarnation);
     this.#membership = view;
     this.#own = new OwnShare(self.name, this.#pool);
@@ -91,12 +98,10 @@
     }
     const clockMs = this.#settle(nowMs);
     this.#bundle = bundle;
-    const workspaces = this.#listMetered(bundle);
-    this.#pool.configure(workspaces, clockMs);
+    this.#configureRates(this.#rates.apply(this.#listMetered(bundle), clockMs), clockMs);
     this.#configureOwn(bundle, clockMs);
     this.#domain.configure(shareLeaseMs);
     this.#borrower.configure(computeSubleaseMs(shareLeaseMs));
-    this.#queue.configure(workspaces);
   }
 
   /**
@@ -160,6 +165,10 @@
     if (this.#bundle === undefined) {
       return this.#queue.advance(clockMs);
     }
+    const changed = this.#rates.advance(clockMs);
+    if (changed !== undefined) {
+      this.#configureRates(changed, clockMs);
+    }
     this.#borrower.advance(clockMs);
     return [
       ...this.#queue.advance(clockMs),
@@ -202,7 +211,11 @@
     };
   }
 
-  /** Ends what is over by the clock before anything is decided. Returns the time to decide with. */
+  #configureRates(workspaces: ReadonlyMap<string, Workspace>, nowMs: number): void {
+    this.#pool.configure(workspaces, nowMs);
+    this.#queue.configure(workspaces);
+  }
+
   #listMetered({ workspaces }: Bundle): ReadonlyMap<string, Workspace> {
     const factor = 1 + this.#excess;
     return new Map(
@@ -221,6 +234,7 @@
     this.#own.configure(1 / shares, fleet.shareLeaseMs, this.#startedMs, nowMs);
   }
 
+  /** Ends what is over by the clock before anything is decided. Returns the time to decide with. */
   #settle(nowMs: number): number {
     const clockMs = Math.max(nowMs, this.#lastMs);
     const gapMs = clockMs - this.#lastMs;
--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -75,6 +75,7 @@
         seeds,
         overload: settings.admission.overload,
         rateExcess: settings.rates.excess,
+        rateLowerAfterMs: settings.rates.lowerAfterMs,
         admission: {
           limit: settings.admission.limit,
           order: settings.admission.order,
--- a/packages/node/src/process/settings/settingsSchema.ts
+++ b/packages/node/src/process/settings/settingsSchema.ts
@@ -44,7 +44,10 @@
   suspects: z.strictObject({
     policy: z.enum(['isolate', 'count'], 'isolate or count').default('isolate'),
   }),
-  rates: z.strictObject({ excess: createFraction().default(0) }),
+  rates: z.strictObject({
+    excess: createFraction().default(0),
+    lowerAfterMs: createInteger(0, 10_000).default(0),
+  }),
   admission: z.strictObject({
     limit: z.enum(['adaptive', 'declared'], 'adaptive or declared').default('adaptive'),
     order: z.enum(['arrival', 'newest'], 'arrival or newest').default('arrival'),
