Log changes of the shed level of a service, and play an overload with rejected calls in the closed loop

The level decides which requests an entry node refuses, and could not be seen in any log. At most one line a second for each service, when it moved by a fifth of a class.

--- a/packages/core/src/process/trees/ServiceUtilization.ts
+++ b/packages/core/src/process/trees/ServiceUtilization.ts
@@ -68,6 +68,14 @@
       : known.utilization + REJECTED_UTILIZATION * known.rejected;
   }
 
+  /**
+   * Reads the part of the own calls to a service that was turned away lately.
+   * @param service - Name of the service.
+   */
+  readRejected(service: string): number {
+    return this.#readings.get(service)?.rejected ?? 0;
+  }
+
   /**
    * Records whether a call that this node sent was turned away for want of room.
    * @param service - Service of the call.
--- a/packages/core/src/process/trees/TreeAdmission.ts
+++ b/packages/core/src/process/trees/TreeAdmission.ts
@@ -25,6 +25,8 @@
 const IDLE_UTILIZATION = 0.5;
 const IDLE_STEP = 0.125;
 
+const NOT_REPORTED = { level: 0, atMs: Number.NEGATIVE_INFINITY };
+
 /** Lowest class, the first that is shed. */
 const LOWEST_CLASS = 3;
 
@@ -34,6 +36,19 @@
 /** Bounds of the time after which a shed request may come back, in milliseconds; spread evenly between them. */
 const RETRY_AFTER_MS = [400, 1_600] as const;
 
+/** Change of a shed level that is worth a log line, in classes, and the shortest time between two lines of a service. */
+const REPORTED_CHANGE = 0.2;
+const REPORT_MS = 1_000;
+
+/** A shed level that has changed since it was last reported, with what it follows. */
+export interface ShedChange {
+  readonly service: string;
+  readonly level: number;
+  readonly utilization: number;
+  /** Part of the calls from this node that the service turned away. */
+  readonly rejected: number;
+}
+
 /** Decision on one request. */
 export type TreeDecision =
   | { readonly admitted: true }
@@ -55,6 +70,8 @@
 
   readonly #levels = new Map<string, number>();
 
+  readonly #reported = new Map<string, { readonly level: number; readonly atMs: number }>();
+
   #steppedMs = 0;
 
   /** @param parts - What is known of trees and services, and the source of choices. */
@@ -107,6 +124,22 @@
     }
   }
 
+  /**
+   * Takes the shed levels that changed by a fifth of a class or more, at most one a second for each service.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  takeChanges(nowMs: number): readonly ShedChange[] {
+    const changed = [...this.#levels].filter(([service, level]) => {
+      const { level: before, atMs } = this.#reported.get(service) ?? NOT_REPORTED;
+      return Math.abs(level - before) >= REPORTED_CHANGE && nowMs - atMs >= REPORT_MS;
+    });
+    return changed.map(([service, level]) => {
+      this.#reported.set(service, { level, atMs: nowMs });
+      const utilization = this.#utilization.read(service, nowMs) ?? 0;
+      return { service, level, utilization, rejected: this.#utilization.readRejected(service) };
+    });
+  }
+
   /** Shows the levels that shed anything, for the state dump. */
   snapshot(): object {
     return Object.fromEntries([...this.#levels].filter(([, level]) => level > 0).slice(0, 64));
@@ -121,6 +154,7 @@
     const next = Math.max(0, Math.min(LOWEST_CLASS, level + change));
     if (next === 0 && utilization === 0) {
       this.#levels.delete(service);
+      this.#reported.delete(service);
       return;
     }
     this.#levels.set(service, next);
--- a/packages/core/src/request/calls/EntryCalls.ts
+++ b/packages/core/src/request/calls/EntryCalls.ts
@@ -10,6 +10,7 @@
 import { admitEgress } from './admitEgress.js';
 import type { AttemptSender } from './AttemptSender.js';
 import { computePriorityClass } from './computePriorityClass.js';
+import { createShedLog } from './createShedLog.js';
 import { createEntryCall, type EntryPlace } from './createEntryCall.js';
 import type { EntryAttempts } from './EntryAttempts.js';
 import type { EntryCall } from './EntryCall.js';
@@ -163,13 +164,19 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   advance(nowMs: number): void {
-    this.#services.trees?.admission.advance(nowMs);
+    this.#advanceTrees(nowMs);
     this.#parts.table
       .list()
       .filter((call) => nowMs >= call.context.deadlineMs)
       .forEach((call) => this.#expire(call, nowMs));
   }
 
+  #advanceTrees(nowMs: number): void {
+    const { trees, outbox } = this.#services;
+    trees?.admission.advance(nowMs);
+    trees?.admission.takeChanges(nowMs).forEach((change) => outbox.add(createShedLog(change)));
+  }
+
   #startCallerCall(
     bundle: Bundle,
     request: ArrivedRequest,
--- a/packages/core/test/process/trees/TreeAdmission.test.ts
+++ b/packages/core/test/process/trees/TreeAdmission.test.ts
@@ -68,6 +68,22 @@
     expect(admitted).to.be.below(10);
   });
 
+  it('guards against requests that stay shed after an overload, at a load that all services can carry', () => {
+    const served = SEEDS.map((seed) => {
+      const { browse, book } = new TreeLoad({
+        demand: 0.9,
+        admits: true,
+        order: 'newest',
+        lengthMs: 20_000,
+        seed,
+        start: { untilMs: 10_000, demand: 1.7, rejected: 0.55 },
+        countFromMs: 13_000,
+      }).play();
+      return (browse.served + book.served) / (browse.asked + book.asked);
+    });
+    expect(computeMean(served)).to.be.at.least(0.9);
+  });
+
   it('guards against requests that are shed long after a service has recovered', () => {
     const trees = new Trees('entry', new SeededSource(5));
     const report = (utilization: number, nowMs: number): void =>
@@ -81,6 +97,11 @@
       return admitted;
     };
     expect(countAdmitted(0, 10_000, 4)).to.be.below(250);
+    const [shed] = trees.admission.takeChanges(10_000);
+    expect(shed).to.deep.include({ service: 'leaf', rejected: 0 });
+    expect(shed.level).to.be.within(2.5, 3);
+    expect(shed.utilization).to.be.closeTo(4, 0.01);
+    expect(trees.admission.takeChanges(10_500)).to.deep.equal([]);
     countAdmitted(10_000, 13_000, 0.1);
     expect(countAdmitted(13_000, 14_000, 0.1)).to.equal(100);
   });
--- a/packages/core/test/process/trees/TreeLoad.ts
+++ b/packages/core/test/process/trees/TreeLoad.ts
@@ -13,6 +13,10 @@
   readonly order: 'arrival' | 'newest';
   readonly lengthMs: number;
   readonly seed: number;
+  /** Another load at the beginning, in which the leaf turns away a part of its calls. */
+  readonly start?: { readonly untilMs: number; readonly demand: number; readonly rejected: number };
+  /** Time before which requests are not counted, in milliseconds; a fifth of the length by default. */
+  readonly countFromMs?: number;
 }
 
 /** What callers got, by route. */
@@ -30,6 +34,9 @@
 const LEAF_SLOTS = 4 * 23;
 const LEAF_MS = 30;
 
+/** Time from a call that the leaf turns away to the refusal, in milliseconds. */
+const REJECT_MS = 3;
+
 /** Longest wait of a leaf call before its caller gives up, in milliseconds. */
 const LEAF_TIMEOUT_MS = 700;
 
@@ -76,12 +83,9 @@
     this.#trees = new Trees('entry', this.#random);
   }
 
-  /** Plays the whole load. Requests of the first fifth are not counted, while the control settles. */
+  /** Plays the whole load. Requests at the beginning are not counted, while the control settles. */
   play(): TreeOutcome {
-    const capacity = (LEAF_SLOTS * 1_000) / LEAF_MS;
-    const calls = Object.values(ROUTES).reduce((sum, one) => sum + one.part * one.leafCalls, 0);
-    const perMs = (this.#options.demand * capacity) / calls / 1_000;
-    this.#scheduleArrival(perMs);
+    this.#scheduleArrival();
     this.#scheduleReport();
     this.#events.runDue(2 * this.#options.lengthMs);
     return this.outcome;
@@ -99,15 +103,30 @@
     return -Math.log(1 - this.#random.next()) * meanMs;
   }
 
-  #scheduleArrival(perMs: number): void {
-    this.#at(this.#draw(1 / perMs), () => {
+  #scheduleArrival(): void {
+    this.#at(this.#draw(1 / this.#computeArrivalsPerMs()), () => {
       if (this.#nowMs < this.#options.lengthMs) {
         this.#arrive(this.#random.next() < ROUTES.browse.part ? 'browse' : 'book');
-        this.#scheduleArrival(perMs);
+        this.#scheduleArrival();
       }
     });
   }
 
+  #computeArrivalsPerMs(): number {
+    const { start, demand } = this.#options;
+    const capacity = LEAF_SLOTS / LEAF_MS;
+    const calls = Object.values(ROUTES).reduce((sum, one) => sum + one.part * one.leafCalls, 0);
+    return ((this.#isStart() ? (start?.demand ?? demand) : demand) * capacity) / calls;
+  }
+
+  #isStart(): boolean {
+    return this.#nowMs < (this.#options.start?.untilMs ?? 0);
+  }
+
+  #isRejected(): boolean {
+    return this.#isStart() && this.#random.next() < (this.#options.start?.rejected ?? 0);
+  }
+
   #scheduleReport(): void {
     const utilization = (this.#running + this.#queue.size) / LEAF_SLOTS;
     this.#at(REPORT_DELAY_MS, () => {
@@ -130,7 +149,7 @@
   #arrive(name: RouteName): void {
     const route = ROUTES[name];
     const counts = this.outcome[name];
-    const isCounted = this.#nowMs > this.#options.lengthMs / 5;
+    const isCounted = this.#nowMs > (this.#options.countFromMs ?? this.#options.lengthMs / 5);
     counts.asked += Number(isCounted);
     const decision = this.#trees.admission.decide(name, route.priority, this.#nowMs);
     if (this.#options.admits && !decision.admitted) {
@@ -154,6 +173,10 @@
       serve();
       return;
     }
+    if (this.#isRejected()) {
+      this.#at(REJECT_MS, () => this.#trees.recordRefusal('leaf', undefined, true, this.#nowMs));
+      return;
+    }
     this.#callCount += 1;
     const callId = String(this.#callCount);
     this.#calls.set(callId, {
@@ -173,6 +196,7 @@
         this.#running += 1;
         this.#at(this.#draw(LEAF_MS), () => {
           this.#running -= 1;
+          this.#trees.recordAnswer('leaf', 'leaf', [], this.#nowMs);
           call.done();
           this.#runLeaf();
         });
