--- a/packages/core/src/request/calls/createShedLog.ts
+++ b/packages/core/src/request/calls/createShedLog.ts
@@ -16,7 +16,7 @@
     text: 'shed level of a service changed',
     fields: {
       service,
-      level: Number(level.toFixed(DIGITS)),
+      shedLevel: Number(level.toFixed(DIGITS)),
       utilization: Number(utilization.toFixed(DIGITS)),
       rejected: Number(rejected.toFixed(DIGITS)),
     },
--- a/packages/node/src/connection/TcpPeerServer.ts
+++ b/packages/node/src/connection/TcpPeerServer.ts
@@ -1,5 +1,7 @@
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { createServer, type Server, type Socket } from 'node:net';
 import type { InboundTransport, PeerListener } from './PeerServer.js';
+import { startListening } from './startListening.js';
+import { stopListening } from './stopListening.js';
 import { TcpFrameStream } from './TcpFrameStream.js';
 
 /** Streams that peers may have open at once, the ones without `Hello` included. */
@@ -27,22 +29,13 @@
    * @returns The port in use. Rejects when the address cannot be used.
    */
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, () => resolve((this.#server.address() as AddressInfo).port));
-    });
+    return startListening(this.#server, host, port);
   }
 
   /** Stops listening; streams that are still open are cut off after half a second. */
-  async [Symbol.asyncDispose](): Promise<void> {
-    const timer = setTimeout(
-      () => this.#sockets.forEach((socket) => socket.destroy()),
-      CLOSE_LIMIT_MS,
-    );
-    await new Promise<void>((resolve) => {
-      this.#server.close(() => resolve());
-    });
-    clearTimeout(timer);
+  [Symbol.asyncDispose](): Promise<void> {
+    const destroyAll = (): void => this.#sockets.forEach((socket) => socket.destroy());
+    return stopListening(this.#server, destroyAll, CLOSE_LIMIT_MS);
   }
 
   #accept(socket: Socket, accept: (transport: InboundTransport) => void): void {
--- /dev/null
+++ b/packages/node/src/connection/stopListening.ts
@@ -0,0 +1,23 @@
+import type { Server } from 'node:net';
+
+/**
+ * Stops listening.
+ * @param server - Server to stop.
+ * @param closeOpen - Closes the connections that are still open.
+ * @param limitMs - Time that open connections have to end by themselves, in milliseconds.
+ */
+export async function stopListening(
+  server: Server,
+  closeOpen: () => void,
+  limitMs = 0,
+): Promise<void> {
+  const closed = new Promise<void>((resolve) => {
+    server.close(() => resolve());
+  });
+  if (limitMs === 0) {
+    closeOpen();
+  }
+  const timer = setTimeout(closeOpen, limitMs);
+  await closed;
+  clearTimeout(timer);
+}
--- a/packages/node/src/process/admin/AdminListener.ts
+++ b/packages/node/src/process/admin/AdminListener.ts
@@ -1,7 +1,7 @@
 import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { createAdaptorServer } from '@hono/node-server';
 import { Hono } from 'hono';
+import { startListening, stopListening } from '../../connection/index.js';
 
 /** Options of the admin listener. */
 export interface AdminListenerOptions {
@@ -47,18 +47,11 @@
    * @returns The port in use. Rejects when the address cannot be used.
    */
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, () => resolve((this.#server.address() as AddressInfo).port));
-    });
+    return startListening(this.#server, host, port);
   }
 
   /** Stops listening and closes every connection. */
-  async [Symbol.asyncDispose](): Promise<void> {
-    const closed = new Promise<void>((resolve) => {
-      this.#server.close(() => resolve());
-    });
-    this.#server.closeAllConnections();
-    await closed;
+  [Symbol.asyncDispose](): Promise<void> {
+    return stopListening(this.#server, () => this.#server.closeAllConnections());
   }
 }
--- a/packages/node/src/request/ReadinessListener.ts
+++ b/packages/node/src/request/ReadinessListener.ts
@@ -1,7 +1,5 @@
-import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
-import { createAdaptorServer } from '@hono/node-server';
-import { Hono } from 'hono';
+import { createServer, type Server } from 'node:http';
+import { startListening, stopListening } from '../connection/index.js';
 
 const SERVING_STATUS = 200;
 
@@ -13,14 +11,9 @@
 
   /** @param isServing - Asked on each request. */
   constructor(isServing: () => boolean) {
-    const app = new Hono();
-    app.get('*', (context) =>
-      context.body(null, isServing() ? SERVING_STATUS : NOT_SERVING_STATUS),
-    );
-    this.#server = createAdaptorServer({
-      fetch: app.fetch,
-      overrideGlobalObjects: false,
-    }) as Server;
+    this.#server = createServer((_incoming, outgoing) => {
+      outgoing.writeHead(isServing() ? SERVING_STATUS : NOT_SERVING_STATUS).end();
+    });
   }
 
   /**
@@ -30,18 +23,11 @@
    * @returns The port in use. Rejects when the address cannot be used.
    */
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, () => resolve((this.#server.address() as AddressInfo).port));
-    });
+    return startListening(this.#server, host, port);
   }
 
   /** Stops listening and closes every connection. */
-  async [Symbol.asyncDispose](): Promise<void> {
-    const closed = new Promise<void>((resolve) => {
-      this.#server.close(() => resolve());
-    });
-    this.#server.closeAllConnections();
-    await closed;
+  [Symbol.asyncDispose](): Promise<void> {
+    return stopListening(this.#server, () => this.#server.closeAllConnections());
   }
 }
--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -1,8 +1,9 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { identity, request } from '@tanagerpond/core';
 import type { node } from '@tanagerpond/core';
+import { startListening, stopListening } from '../connection/index.js';
 import type { EdgeDialect } from '../ports/index.js';
 import type { BodyStore, HeldBody } from '../process/bodies/index.js';
 import type { Counters, Latency } from '../process/metrics/index.js';
@@ -98,10 +99,7 @@
    * @returns The port in use. Rejects when the address cannot be used.
    */
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, () => resolve((this.#server.address() as AddressInfo).port));
-    });
+    return startListening(this.#server, host, port);
   }
 
   /** Requests that wait for an answer. */
@@ -163,14 +161,9 @@
   }
 
   /** Stops listening; connections get a second to finish. */
-  async [Symbol.asyncDispose](): Promise<void> {
-    const timer = setTimeout(() => this.#server.closeAllConnections(), CLOSE_LIMIT_MS);
-    const closed = new Promise<void>((resolve) => {
-      this.#server.close(() => resolve());
-    });
-    this.#server.closeIdleConnections();
-    await closed;
-    clearTimeout(timer);
+  [Symbol.asyncDispose](): Promise<void> {
+    const closeAll = (): void => this.#server.closeAllConnections();
+    return stopListening(this.#server, closeAll, CLOSE_LIMIT_MS);
   }
 
   async #handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
