--- a/packages/cli/src/process/createProgram.ts
+++ b/packages/cli/src/process/createProgram.ts
@@ -14,6 +14,7 @@
   addKeyCommands(program, terminal);
   addNodeCommands(program, terminal);
   addScenarioCommands(program, terminal);
+  addLogCommands(program, terminal);
   program.help((sections) => [...sections, { body: EXIT_HELP }]);
   return program;
 }
@@ -78,6 +79,16 @@
     .action((address) => commands.drainNode(String(address), terminal));
 }
 
+function addLogCommands(program: CAC, terminal: Terminal): void {
+  program
+    .command(
+      'log trace <id> <...files>',
+      'Show all lines about one request in the logs of several nodes',
+    )
+    .example('tanagerpond log trace 9c41d07be2a35f68 node-a.log node-b.log')
+    .action((id, files) => commands.traceRequest(String(id), files as string[], terminal));
+}
+
 function addScenarioCommands(program: CAC, terminal: Terminal): void {
   program
     .command('scenario run <file>', 'Run a scenario on real processes')
--- a/packages/core/src/request/calls/BackendRuns.ts
+++ b/packages/core/src/request/calls/BackendRuns.ts
@@ -7,6 +7,7 @@
 import { computeRetryAfter } from '../computeRetryAfter.js';
 import * as identity from '../identity/index.js';
 import { createRefusal, type Refusal, type RefusalReason } from '../refusals.js';
+import { createRunLog } from './createRunLog.js';
 import { createUnknownLog } from './createUnknownLog.js';
 import type { ExitCall } from './ExitCall.js';
 import type { ExitReplies } from './ExitReplies.js';
@@ -220,6 +221,7 @@
     }
     this.#finish(call, 'answered', nowMs);
     this.#services.suspects.recordSurvived(call.fingerprint, nowMs);
+    this.#services.outbox.add(createRunLog(call, result.status, nowMs));
     const headers = identity.selectForwardedHeaders(result.headers);
     const bodyOf = this.#storeAnswer(call, result, headers);
     const answer = { status: result.status, headers, bodySize: result.bodySize, bodyOf };
--- a/packages/core/src/request/calls/EntryAttempts.ts
+++ b/packages/core/src/request/calls/EntryAttempts.ts
@@ -107,7 +107,7 @@
     this.#services.trees?.recordAnswer(call.route.name, call.route.service, answer.demands, nowMs);
     this.#closer.recordTouched(call, answer.levels);
     call.allowance.settleChild(attempt.granted, answer.unspentAllowance);
-    this.#closer.answer(call, answer);
+    this.#closer.answer(call, answer, nowMs);
   }
 
   /**
--- a/packages/core/src/request/calls/EntryCloser.ts
+++ b/packages/core/src/request/calls/EntryCloser.ts
@@ -3,6 +3,7 @@
 import type { HeaderPair } from '../../process/node/NodeMessage.js';
 import type { NodeServices } from '../../process/node/NodeServices.js';
 import type { Refusal } from '../refusals.js';
+import { createAnswerLog } from './createAnswerLog.js';
 import type { EntryCall } from './EntryCall.js';
 import type { EntryTable } from './EntryTable.js';
 import type { ExitCall } from './ExitCall.js';
@@ -31,10 +32,12 @@
    * Answers the requester with a whole answer.
    * @param call - Call that was answered.
    * @param answer - Frame of the answer; its body is kept under the attempt's id.
+   * @param nowMs - Monotonic time, in milliseconds.
    */
-  answer(call: EntryCall, answer: Answer): void {
+  answer(call: EntryCall, answer: Answer, nowMs: number): void {
     const { outbox, counters } = this.#services;
     counters.count('answered');
+    outbox.add(createAnswerLog(call, answer, nowMs));
     outbox.add({
       kind: 'answerRequester',
       requestId: call.requestId,
--- a/packages/core/src/request/calls/createUnknownLog.ts
+++ b/packages/core/src/request/calls/createUnknownLog.ts
@@ -11,7 +11,8 @@
   const { rootId: root, workspace, route } = context;
   return {
     kind: 'log',
-    level: 'warn',
+    // Warnings with the same text are counted within a while; each of these lines is about another request.
+    level: 'info',
     part: 'backend',
     text: 'call ended with an unknown outcome',
     fields: { root, workspace, route, reason },
