Ask for the level and the bound of the log before a line is formatted

Cause: lines at debug for served requests cost 120,000 instructions each although the level was info, because the library passes every line through its stream first; lines beyond the bound were formatted before they were left out.

--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -49,15 +49,18 @@
 }
 
 async function runProcess(file: string, settings: Settings, ports?: NodePorts): Promise<number> {
+  const now = (): number => performance.now();
+  const lines = new BoundedLineStream({
+    target: process.stdout,
+    now,
+    linesPerSecond: settings.log.linesPerSecond,
+    backlogBytes: LOG_BACKLOG_BYTES,
+  });
   const log = createLogger({
     level: settings.log.level,
-    stream: new BoundedLineStream({
-      target: process.stdout,
-      now: () => performance.now(),
-      linesPerSecond: settings.log.linesPerSecond,
-      backlogBytes: LOG_BACKLOG_BYTES,
-    }).input,
-    now: () => performance.now(),
+    stream: lines.input,
+    isFull: () => lines.isFull(),
+    now,
   });
   await using host = new NodeProcess({
     settings,
--- a/packages/node/src/process/log/BoundedLineStream.ts
+++ b/packages/node/src/process/log/BoundedLineStream.ts
@@ -52,13 +52,25 @@
     return this.#omittedTotal;
   }
 
-  #pass(line: string): void {
+  /**
+   * Tells whether the next line would be left out, and counts it as such. Asking first saves formatting the line.
+   * @returns False when the line may be written to the input.
+   */
+  isFull(): boolean {
     const { target, backlogBytes } = this.#options;
-    if (target.writableLength > backlogBytes || !this.#takeToken()) {
-      this.#omitted += 1;
-      this.#omittedTotal += 1;
+    this.#refill();
+    const isFull = target.writableLength > backlogBytes || this.#tokens < 1;
+    this.#omitted += Number(isFull);
+    this.#omittedTotal += Number(isFull);
+    return isFull;
+  }
+
+  #pass(line: string): void {
+    if (this.isFull()) {
       return;
     }
+    const { target } = this.#options;
+    this.#tokens -= 1;
     target.write(line);
     if (this.#omitted > 0) {
       const fields = { level: 'warn', message: 'log: lines were left out', lines: this.#omitted };
@@ -67,16 +79,11 @@
     }
   }
 
-  #takeToken(): boolean {
+  #refill(): void {
     const { now, linesPerSecond } = this.#options;
     const nowMs = now();
     const refill = ((nowMs - this.#refilledMs) * linesPerSecond) / SECOND_MS;
     this.#tokens = Math.min(BURST_SECONDS * linesPerSecond, this.#tokens + refill);
     this.#refilledMs = nowMs;
-    if (this.#tokens < 1) {
-      return false;
-    }
-    this.#tokens -= 1;
-    return true;
   }
 }
--- a/packages/node/src/process/log/createLogger.ts
+++ b/packages/node/src/process/log/createLogger.ts
@@ -33,6 +33,9 @@
   count: number;
 }
 
+/** Rank of each level; the most severe is 0. */
+const RANKS: Readonly<Record<LogLevel, number>> = { error: 0, warn: 1, info: 2, debug: 3 };
+
 /** Time for which a repeated warning or error is counted instead of written, in milliseconds. */
 const REPEAT_MS = 10_000;
 
@@ -46,6 +49,8 @@
 export function createLogger(options: {
   readonly level: LogLevel;
   readonly stream: Writable;
+  /** Tells whether the stream would leave out the next line, so that it need not be formatted. */
+  readonly isFull?: () => boolean;
   readonly now: () => number;
 }): ProcessLog {
   const logger = winston.createLogger({
@@ -54,16 +59,22 @@
     transports: [new winston.transports.Stream({ stream: options.stream })],
   });
   const repeated = new Map<string, Repeated>();
+  let lowestRank = RANKS[options.level];
   return {
     setLevel(level) {
       logger.level = level;
+      lowestRank = RANKS[level];
     },
     write(level, part, text, fields = {}) {
+      // The library would pass every line through its stream before it looks at the level.
+      if (RANKS[level] > lowestRank) {
+        return;
+      }
       const count =
         level === 'info' || level === 'debug'
           ? 0
           : countRepeat(repeated, `${part}: ${text}`, options.now());
-      if (count !== undefined) {
+      if (count !== undefined && options.isFull?.() !== true) {
         const repeats = count > 0 ? { repeated: count } : {};
         logger.log({ ...fields, ...repeats, level, message: `${part}: ${text}` });
       }
--- a/packages/node/test/process/BoundedLineStream.test.ts
+++ b/packages/node/test/process/BoundedLineStream.test.ts
@@ -46,6 +46,19 @@
     expect(stream.omitted).to.equal(30);
   });
 
+  it('guards against lines that are formatted only to be left out', () => {
+    const asked = Array.from({ length: 50 }, () => {
+      const isFull = stream.isFull();
+      if (!isFull) {
+        stream.input.write('line\n');
+      }
+      return isFull;
+    });
+    expect(asked.filter((isFull) => !isFull)).to.have.length(20);
+    expect(written).to.have.length(20);
+    expect(stream.omitted).to.equal(30);
+  });
+
   it('guards against a reader that does not read and makes the process keep its lines', () => {
     isBlocked = true;
     for (let line = 0; line < 15; line += 1) {
--- a/packages/node/test/process/createLogger.test.ts
+++ b/packages/node/test/process/createLogger.test.ts
@@ -3,6 +3,29 @@
 import { createLogger } from '../../src/index.js';
 
 describe('the log', () => {
+  it('guards against lines below the level, or beyond the bound, that cost formatting', () => {
+    const written: string[] = [];
+    let isFull = false;
+    const stream = new Writable({
+      write(chunk: Buffer, _encoding, done) {
+        written.push(String(chunk));
+        done();
+      },
+    });
+    const log = createLogger({ level: 'info', stream, isFull: () => isFull, now: () => 0 });
+    log.write('debug', 'caller', 'not written');
+    log.write('info', 'caller', 'written');
+    isFull = true;
+    log.write('info', 'caller', 'left out');
+    isFull = false;
+    log.setLevel('debug');
+    log.write('debug', 'caller', 'written too');
+    expect(written.map((line) => (JSON.parse(line) as { message: string }).message)).to.deep.equal([
+      'caller: written',
+      'caller: written too',
+    ]);
+  });
+
   it('guards against a failure that fills the log, and against repetitions that nobody sees', () => {
     const lines: Record<string, unknown>[] = [];
     let nowMs = 0;
