--- a/packages/node/src/connection/LinkStream.ts
+++ b/packages/node/src/connection/LinkStream.ts
@@ -29,7 +29,7 @@
   readonly onClose: (end: LinkEnd) => void;
 }
 
-/** Time between two pings, in milliseconds. */
+/** Time without a frame in one of the directions after which the opener pings, in milliseconds. */
 const PING_MS = 1_000;
 
 /** A stream without any frame for this time is closed as silent, in milliseconds. */
@@ -52,7 +52,7 @@
 
   #checkedMs: number;
 
-  #pingedMs: number;
+  #wroteMs: number;
 
   #sequence = 0;
 
@@ -70,7 +70,7 @@
     this.#options = options;
     this.#heardMs = options.now();
     this.#checkedMs = this.#heardMs;
-    this.#pingedMs = this.#heardMs;
+    this.#wroteMs = this.#heardMs;
     const { stream } = options;
     stream.on('data', (bytes: Buffer) => this.#receive(bytes));
     stream.on('end', () => this.close('ended'));
@@ -122,8 +122,8 @@
       this.close('silent');
       return;
     }
-    if (this.#options.opener && nowMs - this.#pingedMs >= PING_MS) {
-      this.#pingedMs = nowMs;
+    const quietMs = nowMs - Math.min(this.#heardMs, this.#wroteMs);
+    if (this.#options.opener && quietMs >= PING_MS) {
       this.#sequence += 1;
       this.write(buildFrame({ case: 'ping', value: { sequence: this.#sequence } }));
     }
@@ -154,6 +154,7 @@
     }
     const bytes = joinFrames(this.#written);
     const done = this.#done;
+    this.#wroteMs = this.#options.now();
     this.#written = [];
     this.#writtenBytes = 0;
     this.#done = [];
