--- a/packages/core/src/process/shares/ShareLedger.ts
+++ b/packages/core/src/process/shares/ShareLedger.ts
@@ -6,7 +6,6 @@
 import { HolderRanking } from './HolderRanking.js';
 import { isFiniteFrame } from './isFiniteFrame.js';
 import { LeaseIds } from './LeaseIds.js';
-import { LoweredRates } from './LoweredRates.js';
 import { mergeReturns } from './mergeReturns.js';
 import { OwnShare } from './OwnShare.js';
 import { RequestQueue } from './RequestQueue.js';
@@ -17,21 +16,18 @@
 import { SubleaseTable } from './SubleaseTable.js';
 import { TokenBorrower } from './TokenBorrower.js';
 import { TokenPool } from './TokenPool.js';
+import { WorkspaceRates, type RateOptions } from './WorkspaceRates.js';
 
 /** Start position in the list of holders is drawn from this range. */
 const CURSOR_RANGE = 1_000;
 
 /** What a ledger is built from. */
-export interface ShareLedgerOptions {
+export interface ShareLedgerOptions extends RateOptions {
   readonly self: membership.VmIdentity;
   readonly membership: membership.Membership;
   readonly random: time.RandomSource;
   /** Start of the process on its monotonic clock. No earlier run of the VM acts after it. */
   readonly startedMs: number;
-  /** Part by which the sum over the fleet may exceed rate and burst; 0 by default. */
-  readonly excess?: number;
-  /** Time for which a rate that a bundle lowers stays as it was, in milliseconds; 0 by default. */
-  readonly lowerAfterMs?: number;
 }
 
 /**
@@ -46,9 +42,7 @@
 
   readonly #membership: membership.Membership;
 
-  readonly #excess: number;
-
-  readonly #rates: LoweredRates;
+  readonly #rates: WorkspaceRates;
 
   readonly #own: OwnShare;
 
@@ -72,9 +66,8 @@
 
   /** @param options - Identity, membership view, random source and start time in milliseconds. */
   constructor(options: ShareLedgerOptions) {
-    const { self, membership: view, random, startedMs, excess = 0, lowerAfterMs = 0 } = options;
-    this.#excess = excess;
-    this.#rates = new LoweredRates(lowerAfterMs);
+    const { self, membership: view, random, startedMs } = options;
+    this.#rates = new WorkspaceRates(options);
     const ids = new LeaseIds(self.incarnation);
     this.#membership = view;
     this.#own = new OwnShare(self.name, this.#pool);
@@ -98,7 +91,7 @@
     }
     const clockMs = this.#settle(nowMs);
     this.#bundle = bundle;
-    this.#configureRates(this.#rates.apply(this.#listMetered(bundle), clockMs), clockMs);
+    this.#configureRates(this.#rates.apply(bundle, clockMs), clockMs);
     this.#configureOwn(bundle, clockMs);
     this.#domain.configure(shareLeaseMs);
     this.#borrower.configure(computeSubleaseMs(shareLeaseMs));
@@ -216,18 +209,6 @@
     this.#queue.configure(workspaces);
   }
 
-  #listMetered({ workspaces }: Bundle): ReadonlyMap<string, Workspace> {
-    const factor = 1 + this.#excess;
-    return new Map(
-      [...workspaces]
-        .filter(([, { unmetered }]) => unmetered !== true)
-        .map(([name, workspace]) => [
-          name,
-          { ...workspace, rate: workspace.rate * factor, burst: workspace.burst * factor },
-        ]),
-    );
-  }
-
   /** Without a declared maximum, the rates are divided by the number of listed VMs. */
   #configureOwn({ fleet }: Bundle, nowMs: number): void {
     const shares = fleet.maxVms ?? Math.max(1, this.#membership.size);
