--- a/packages/node/src/process/backend/BackendPool.ts
+++ b/packages/node/src/process/backend/BackendPool.ts
@@ -5,6 +5,7 @@
 import type { BodyStore, HeldBody } from '../bodies/index.js';
 import type { Counters } from '../metrics/index.js';
 import { BackendExchange } from './BackendExchange.js';
+import { createConnector } from './createConnector.js';
 
 /** Options of the pool. */
 export interface BackendPoolOptions {
@@ -38,7 +39,7 @@
     this.#pool = new Pool(`http://${options.address}`, {
       connections: options.connections,
       pipelining: 1,
-      connect: { timeout: options.connectLimitMs },
+      connect: createConnector(options.connectLimitMs),
       // The time limit of a call is its deadline, not one of the library.
       headersTimeout: 0,
       bodyTimeout: 0,
--- /dev/null
+++ b/packages/node/src/process/backend/createConnector.ts
@@ -0,0 +1,26 @@
+import { buildConnector } from 'undici';
+
+/** Code of an error that the library does not take for the end of an answer. */
+const BROKEN_CODE = 'ECONNABORTED';
+
+/**
+ * Creates the connector of the connections to the backend server. The library takes a reset for the regular end of an
+ * answer without a length, so that a part of it would look whole. Its own handler comes after this one.
+ * @param connectLimitMs - Time limit of a new connection, in milliseconds.
+ */
+export function createConnector(connectLimitMs: number): buildConnector.connector {
+  const connect = buildConnector({ timeout: connectLimitMs });
+  return (options, callback) => {
+    connect(options, (...result) => {
+      const [, socket] = result;
+      socket?.on('error', markBroken);
+      callback(...result);
+    });
+  };
+}
+
+function markBroken(error: NodeJS.ErrnoException): void {
+  if (error.code === 'ECONNRESET') {
+    Object.assign(error, { code: BROKEN_CODE });
+  }
+}
