--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -59,7 +59,7 @@
   const log = createLogger({
     level: settings.log.level,
     stream: lines.input,
-    isFull: () => lines.isFull(),
+    dropIfFull: () => lines.dropIfFull(),
     now,
   });
   await using host = new NodeProcess({
--- a/packages/node/src/process/log/BoundedLineStream.ts
+++ b/packages/node/src/process/log/BoundedLineStream.ts
@@ -53,10 +53,10 @@
   }
 
   /**
-   * Tells whether the next line would be left out, and counts it as such. Asking first saves formatting the line.
+   * Drops the next line, and counts it, when there is no room for it. Asking first saves formatting the line.
    * @returns False when the line may be written to the input.
    */
-  isFull(): boolean {
+  dropIfFull(): boolean {
     const { target, backlogBytes } = this.#options;
     this.#refill();
     const isFull = target.writableLength > backlogBytes || this.#tokens < 1;
@@ -66,7 +66,7 @@
   }
 
   #pass(line: string): void {
-    if (this.isFull()) {
+    if (this.dropIfFull()) {
       return;
     }
     const { target } = this.#options;
--- a/packages/node/src/process/log/createLogger.ts
+++ b/packages/node/src/process/log/createLogger.ts
@@ -49,8 +49,8 @@
 export function createLogger(options: {
   readonly level: LogLevel;
   readonly stream: Writable;
-  /** Tells whether the stream would leave out the next line, so that it need not be formatted. */
-  readonly isFull?: () => boolean;
+  /** Drops the next line when the stream has no room for it, so that it need not be formatted. */
+  readonly dropIfFull?: () => boolean;
   readonly now: () => number;
 }): ProcessLog {
   const logger = winston.createLogger({
@@ -74,7 +74,7 @@
         level === 'info' || level === 'debug'
           ? 0
           : countRepeat(repeated, `${part}: ${text}`, options.now());
-      if (count !== undefined && options.isFull?.() !== true) {
+      if (count !== undefined && options.dropIfFull?.() !== true) {
         const repeats = count > 0 ? { repeated: count } : {};
         logger.log({ ...fields, ...repeats, level, message: `${part}: ${text}` });
       }
--- a/packages/node/test/process/BoundedLineStream.test.ts
+++ b/packages/node/test/process/BoundedLineStream.test.ts
@@ -48,7 +48,7 @@
 
   it('guards against lines that are formatted only to be left out', () => {
     const asked = Array.from({ length: 50 }, () => {
-      const isFull = stream.isFull();
+      const isFull = stream.dropIfFull();
       if (!isFull) {
         stream.input.write('line\n');
       }
--- a/packages/node/test/process/createLogger.test.ts
+++ b/packages/node/test/process/createLogger.test.ts
@@ -12,7 +12,7 @@
         done();
       },
     });
-    const log = createLogger({ level: 'info', stream, isFull: () => isFull, now: () => 0 });
+    const log = createLogger({ level: 'info', stream, dropIfFull: () => isFull, now: () => 0 });
     log.write('debug', 'caller', 'not written');
     log.write('info', 'caller', 'written');
     isFull = true;
