--- a/packages/cli/src/process/commands/traceRequest.ts
+++ b/packages/cli/src/process/commands/traceRequest.ts
@@ -1,4 +1,5 @@
 import * as fs from 'node:fs/promises';
+import { Result } from 'true-myth';
 import { EXIT, type ExitCode } from '../exitCodes.js';
 import type { Terminal } from '../Terminal.js';
 
@@ -23,16 +24,13 @@
   files: readonly string[],
   terminal: Terminal,
 ): Promise<ExitCode> {
-  const lines: LogLine[] = [];
-  // eslint-disable-next-line no-restricted-syntax -- one file after the other keeps the memory small
-  for (const file of files) {
-    const read = await readLines(file);
-    if (typeof read === 'string') {
-      terminal.writeError(`${file}: ${read}`);
-      return EXIT.badInput;
-    }
-    lines.push(...read);
+  const read = await Promise.all(files.map((file) => readLines(file)));
+  const faults = read.flatMap((one) => (one.isErr ? [one.error] : []));
+  if (faults.length > 0) {
+    faults.forEach((fault) => terminal.writeError(fault));
+    return EXIT.badInput;
   }
+  const lines = read.flatMap((one) => one.unwrapOr([]));
   const found = selectLines(lines, id);
   found.forEach(({ file, text }) => terminal.write(`${file}: ${text}`));
   if (found.length === 0) {
@@ -41,12 +39,12 @@
   return found.length > 0 ? EXIT.done : EXIT.failed;
 }
 
-async function readLines(file: string): Promise<readonly LogLine[] | string> {
+async function readLines(file: string): Promise<Result<readonly LogLine[], string>> {
   try {
     const text = await fs.readFile(file, 'utf8');
-    return text.split('\n').flatMap((line) => parseLine(file, line));
-  } catch (error) {
-    return error instanceof Error ? error.message : String(error);
+    return Result.ok(text.split('\n').flatMap((line) => parseLine(file, line)));
+  } catch {
+    return Result.err(`${file}: expected a readable file`);
   }
 }
 
--- a/packages/core/src/process/documents/DocumentRelay.ts
+++ b/packages/core/src/process/documents/DocumentRelay.ts
@@ -67,7 +67,7 @@
    */
   recordRead(document: PublishedDocument): void {
     if (this.#keep(document)) {
-      this.#pickPeers(ANNOUNCED_PEERS).forEach((peer) => this.#request(peer));
+      this.#announce();
     }
   }
 
@@ -108,7 +108,7 @@
     const document = { name, revision, content };
     if (this.#keep(document)) {
       this.#parts.outbox.add({ kind: 'documentReceived', document });
-      this.#pickPeers(ANNOUNCED_PEERS).forEach((peer) => this.#request(peer));
+      this.#announce();
     }
   }
 
@@ -141,6 +141,11 @@
     };
   }
 
+  /** A request tells what this node holds, so that a peer that lacks it asks. */
+  #announce(): void {
+    this.#pickPeers(ANNOUNCED_PEERS).forEach((peer) => this.#request(peer));
+  }
+
   #request(peer: string): void {
     const held = [...this.#documents.values()].map(({ name, revision }) => ({ name, revision }));
     const value = create(DocumentRequestSchema, { held });
@@ -156,7 +161,7 @@
   }
 
   #hear(peer: string, name: string, revision: number, nowMs: number): void {
-    const known = this.#documents.get(name)?.revision ?? Number.NEGATIVE_INFINITY;
+    const known = this.#readRevision(name);
     const heard = this.#heard.get(name);
     if (revision > known && revision > (heard?.revision ?? known) && this.#hasRoom(name)) {
       this.#heard.set(name, { peer, revision, sinceMs: heard?.sinceMs ?? nowMs });
@@ -165,8 +170,7 @@
 
   #requestHeard(nowMs: number): void {
     this.#heard.forEach(({ peer, revision, sinceMs }, name) => {
-      const known = this.#documents.get(name)?.revision ?? Number.NEGATIVE_INFINITY;
-      if (revision <= known) {
+      if (revision <= this.#readRevision(name)) {
         this.#heard.delete(name);
       } else if (nowMs - sinceMs >= PATIENCE_MS) {
         this.#heard.delete(name);
@@ -175,13 +179,16 @@
     });
   }
 
+  #readRevision(name: string): number {
+    return this.#documents.get(name)?.revision ?? Number.NEGATIVE_INFINITY;
+  }
+
   #hasRoom(name: string): boolean {
     return this.#documents.has(name) || this.#documents.size < DOCUMENTS;
   }
 
   #keep(document: PublishedDocument): boolean {
-    const known = this.#documents.get(document.name);
-    const isNew = known === undefined || document.revision > known.revision;
+    const isNew = document.revision > this.#readRevision(document.name);
     if (!isNew || !this.#hasRoom(document.name)) {
       return false;
     }
--- a/packages/core/src/process/node/createNodeServices.ts
+++ b/packages/core/src/process/node/createNodeServices.ts
@@ -38,10 +38,8 @@
   readonly overload?: 'levels' | 'trees';
   /** How requests that crash backend servers are found; isolating by default. */
   readonly suspects?: suspects.SuspectPolicy;
-  /** Part by which the sum over the fleet may exceed the rate and burst of a workspace; 0 by default. */
-  readonly rateExcess?: number;
-  /** Time for which a rate that a bundle lowers stays as it was, in milliseconds; 0 by default. */
-  readonly rateLowerAfterMs?: number;
+  /** How the rates of a bundle are applied; exactly and at once by default. */
+  readonly rates?: shares.RateOptions;
   /** Draws unguessable call tokens; random unless a test needs fixed ones. */
   readonly createToken?: () => string;
   /** Secret of the tickets; random unless a test needs a fixed one. */
@@ -71,8 +69,7 @@
       membership: members,
       random,
       startedMs,
-      excess: options.rateExcess ?? 0,
-      lowerAfterMs: options.rateLowerAfterMs ?? 0,
+      ...options.rates,
     }),
     admission: new admission.AdmissionQueue({
       ...INITIAL_LIMITS,
--- a/packages/core/src/process/shares/DomainShares.ts
+++ b/packages/core/src/process/shares/DomainShares.ts
@@ -2,7 +2,6 @@
 import * as wire from '@tanagerpond/wire';
 import type { LeaseIds } from './LeaseIds.js';
 import type { ShareCommand } from './ShareCommand.js';
-import { createFrame } from './ShareFrame.js';
 import type { TokenPool } from './TokenPool.js';
 
 /** A lease is renewed after a third of its time, so two lost renewals leave no gap. */
@@ -146,7 +145,7 @@
       nextMs: nowMs + retryMs,
       unanswered: loan.unanswered + 1,
     });
-    const frame = createFrame({ case: 'shareRequest', value: request });
+    const frame = wire.createFrame({ case: 'shareRequest', value: request });
     return { kind: 'sendRequest', peer: owner, frame };
   }
 
@@ -164,7 +163,7 @@
       ends: true,
       parts: [...levels].map(([workspace, level]) => ({ workspace, level })),
     });
-    const frame = createFrame({ case: 'shareReturn', value });
+    const frame = wire.createFrame({ case: 'shareReturn', value });
     return [{ kind: 'sendRequest', peer: owner, frame }];
   }
 
--- a/packages/core/src/process/shares/ShareLedger.ts
+++ b/packages/core/src/process/shares/ShareLedger.ts
@@ -1,5 +1,5 @@
 import type { Bundle, Workspace } from '@tanagerpond/bundle';
-import type * as wire from '@tanagerpond/wire';
+import * as wire from '@tanagerpond/wire';
 import type * as membership from '../membership/index.js';
 import type * as time from '../time/index.js';
 import { DomainShares } from './DomainShares.js';
@@ -10,7 +10,7 @@
 import { OwnShare } from './OwnShare.js';
 import { RequestQueue } from './RequestQueue.js';
 import type { ShareCommand } from './ShareCommand.js';
-import { createFrame, type ShareFrame } from './ShareFrame.js';
+import type { ShareFrame } from './ShareFrame.js';
 import type { ShareSnapshot } from './ShareSnapshot.js';
 import { computeSubleaseMs } from './shareLimits.js';
 import { SubleaseTable } from './SubleaseTable.js';
@@ -256,7 +256,7 @@
     if (grant === undefined) {
       return [];
     }
-    const frame = createFrame({ case: 'shareGrant', value: grant });
+    const frame = wire.createFrame({ case: 'shareGrant', value: grant });
     return [{ kind: 'sendReply', peer, frame }];
   }
 
--- a/packages/core/src/process/shares/TokenBorrower.ts
+++ b/packages/core/src/process/shares/TokenBorrower.ts
@@ -4,7 +4,6 @@
 import { HolderLevels } from './HolderLevels.js';
 import type { LeaseIds } from './LeaseIds.js';
 import type { ShareCommand } from './ShareCommand.js';
-import { createFrame } from './ShareFrame.js';
 import { ROUNDING } from './shareLimits.js';
 import { TokenAsks } from './TokenAsks.js';
 import type { TokenPart, WorkspaceDemand } from './WorkspaceDemand.js';
@@ -221,7 +220,7 @@
     this.#asks.add(requestId, holder, message.expected, nowMs);
     const wanted = [...message.wanted].map(([workspace, level]) => ({ workspace, level }));
     const value = protobuf.create(wire.ShareRequestSchema, { requestId, wanted });
-    const frame = createFrame({ case: 'shareRequest', value });
+    const frame = wire.createFrame({ case: 'shareRequest', value });
     return { kind: 'sendRequest', peer: holder, frame };
   }
 
@@ -268,6 +267,6 @@
   return {
     kind: 'sendRequest',
     peer: holder,
-    frame: createFrame({ case: 'shareReturn', value }),
+    frame: wire.createFrame({ case: 'shareReturn', value }),
   };
 }
--- a/packages/core/src/request/calls/EntryCloser.ts
+++ b/packages/core/src/request/calls/EntryCloser.ts
@@ -4,6 +4,7 @@
 import type { NodeServices } from '../../process/node/NodeServices.js';
 import type { Refusal } from '../refusals.js';
 import { createAnswerLog } from './createAnswerLog.js';
+import { createEntryLog } from './createEntryLog.js';
 import type { EntryCall } from './EntryCall.js';
 import type { EntryTable } from './EntryTable.js';
 import type { ExitCall } from './ExitCall.js';
@@ -123,26 +124,19 @@
   }
 
   #logRefusal(call: EntryCall, { reason, outcome, detail }: Refusal): void {
-    const { context, parentCallId, attempt, attemptId } = call;
-    const { rootId: root, workspace, route, priority, bundleVersion } = context;
-    this.#services.outbox.add({
-      kind: 'log',
+    const { context, attempt } = call;
+    const line = createEntryLog(call, {
       level: 'info',
-      part: parentCallId === undefined ? 'caller' : 'egress',
       text: 'call was refused',
       fields: {
-        root,
-        ...(attemptId === undefined ? {} : { request: attemptId }),
-        workspace,
-        route,
-        priority,
-        version: bundleVersion,
+        priority: context.priority,
         ...(attempt === undefined ? {} : { vm: attempt.vm }),
         reason,
         outcome,
         ...(detail === undefined ? {} : { detail }),
       },
     });
+    this.#services.outbox.add(line);
   }
 
   #findParent(call: EntryCall): ExitCall | undefined {
--- a/packages/core/src/request/calls/createAnswerLog.ts
+++ b/packages/core/src/request/calls/createAnswerLog.ts
@@ -1,5 +1,6 @@
 import type { Answer } from '@tanagerpond/wire';
 import type { NodeCommand } from '../../process/node/NodeCommand.js';
+import { createEntryLog } from './createEntryLog.js';
 import type { EntryCall } from './EntryCall.js';
 
 /** First status that tells a caller of a failure. */
@@ -13,25 +14,17 @@
  * @param nowMs - Monotonic time, in milliseconds.
  */
 export function createAnswerLog(call: EntryCall, answer: Answer, nowMs: number): NodeCommand {
-  const { context, parentCallId, attempt, attemptId, tried, startedMs } = call;
-  const { rootId: root, workspace, route, bundleVersion: version } = context;
+  const { attempt, tried, startedMs } = call;
   const isNotable = answer.status >= FIRST_FAILURE || tried.size > 1;
-  return {
-    kind: 'log',
+  return createEntryLog(call, {
     level: isNotable ? 'info' : 'debug',
-    part: parentCallId === undefined ? 'caller' : 'egress',
     text: 'call was answered',
     fields: {
-      root,
-      ...(attemptId === undefined ? {} : { request: attemptId }),
-      workspace,
-      route,
-      version,
       vm: attempt?.vm ?? '',
       attempts: tried.size,
       status: answer.status,
       replayed: answer.replayed,
       durationMs: Math.round(nowMs - startedMs),
     },
-  };
+  });
 }
--- /dev/null
+++ b/packages/core/src/request/calls/createEntryLog.ts
@@ -0,0 +1,29 @@
+import type { NodeCommand } from '../../process/node/NodeCommand.js';
+import type { EntryCall } from './EntryCall.js';
+
+type LogCommand = Extract<NodeCommand, { kind: 'log' }>;
+
+/**
+ * Creates a log line about a call that this node started, with what identifies it.
+ * @param call - The call.
+ * @param line - Level, text and what the line says besides.
+ */
+export function createEntryLog(
+  { context, parentCallId, attemptId }: EntryCall,
+  { level, text, fields }: Omit<Required<LogCommand>, 'kind' | 'part'>,
+): LogCommand {
+  return {
+    kind: 'log',
+    level,
+    part: parentCallId === undefined ? 'caller' : 'egress',
+    text,
+    fields: {
+      root: context.rootId,
+      ...(attemptId === undefined ? {} : { request: attemptId }),
+      workspace: context.workspace,
+      route: context.route,
+      version: context.bundleVersion,
+      ...fields,
+    },
+  };
+}
--- a/packages/core/src/request/identity/readHeader.ts
+++ b/packages/core/src/request/identity/readHeader.ts
@@ -12,10 +12,10 @@
  * @param name - Lower-case name.
  */
 export function readHeader(headers: readonly HeaderPair[], name: string): SingleHeader {
-  const position = headers.findIndex(([headerName]) => headerName === name);
-  if (position === -1) {
+  const first = headers.findIndex(([headerName]) => headerName === name);
+  if (first === -1) {
     return { kind: 'absent' };
   }
-  const isRepeated = headers.some(([headerName], index) => index > position && headerName === name);
-  return isRepeated ? { kind: 'repeated' } : { kind: 'present', value: headers[position][1] };
+  const last = headers.findLastIndex(([headerName]) => headerName === name);
+  return first === last ? { kind: 'present', value: headers[first][1] } : { kind: 'repeated' };
 }
--- /dev/null
+++ b/packages/node/src/bin/createMachine.ts
@@ -0,0 +1,35 @@
+import { node, suspects } from '@tanagerpond/core';
+import type { NodeProcessOptions } from '../process/host/index.js';
+import type { Settings } from '../process/settings/index.js';
+
+const SUSPECT_POLICIES = {
+  isolate: suspects.ISOLATING_POLICY,
+  count: suspects.COUNTING_POLICY,
+} as const;
+
+/**
+ * Creates the decisions of a node as its settings say.
+ * @param settings - Checked settings.
+ * @param start - Identity and start of the process.
+ */
+export function createMachine(
+  settings: Settings,
+  start: Parameters<NodeProcessOptions['createDecisions']>[0],
+): node.NodeMachine {
+  const { trust, drain, admission } = settings;
+  return new node.NodeMachine({
+    ...start,
+    random: { next: () => Math.random() },
+    trustedKeys: trust.signingKeys,
+    unsignedBundles: trust.unsigned,
+    drainLimitMs: drain.limitMs,
+    suspects: SUSPECT_POLICIES[settings.suspects.policy],
+    overload: admission.overload,
+    rates: settings.rates,
+    admission: {
+      limit: admission.limit,
+      order: admission.order,
+      preempts: admission.preemption,
+    },
+  });
+}
--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -1,16 +1,11 @@
 import { performance } from 'node:perf_hooks';
-import { node, suspects } from '@tanagerpond/core';
 import { cac } from 'cac';
 import type { NodePorts } from '../ports/index.js';
 import { NodeProcess } from '../process/host/index.js';
 import { BoundedLineStream, createLogger } from '../process/log/index.js';
 import { loadSettings, SettingsReload } from '../process/settings/index.js';
 import type { Settings } from '../process/settings/index.js';
-
-const SUSPECT_POLICIES = {
-  isolate: suspects.ISOLATING_POLICY,
-  count: suspects.COUNTING_POLICY,
-} as const;
+import { createMachine } from './createMachine.js';
 
 /** Bytes of log lines that may wait for a slow reader; a few seconds of lines at the usual rate. */
 const LOG_BACKLOG_BYTES = 256 * 1024;
@@ -66,25 +61,7 @@
     settings,
     log,
     ...(ports === undefined ? {} : { ports }),
-    createDecisions: ({ self, startedMs, seeds }) =>
-      new node.NodeMachine({
-        self,
-        startedMs,
-        random: { next: () => Math.random() },
-        trustedKeys: settings.trust.signingKeys,
-        drainLimitMs: settings.drain.limitMs,
-        unsignedBundles: settings.trust.unsigned,
-        suspects: SUSPECT_POLICIES[settings.suspects.policy],
-        seeds,
-        overload: settings.admission.overload,
-        rateExcess: settings.rates.excess,
-        rateLowerAfterMs: settings.rates.lowerAfterMs,
-        admission: {
-          limit: settings.admission.limit,
-          order: settings.admission.order,
-          preempts: settings.admission.preemption,
-        },
-      }),
+    createDecisions: (start) => createMachine(settings, start),
   });
   const reload = new SettingsReload(file, settings, log);
   process.on('SIGHUP', () => {
--- a/packages/node/src/connection/BodyReceiver.ts
+++ b/packages/node/src/connection/BodyReceiver.ts
@@ -15,13 +15,23 @@
   heardMs: number;
 }
 
+/** Why a body cannot be received. */
+export type BodyFault = 'tooLarge' | 'buffersFull';
+
 /** Whether a body may be received. */
-export type BeginResult = 'begun' | 'tooLarge' | 'buffersFull';
+export type BeginResult = 'begun' | BodyFault;
+
+/** A whole body with the budget taken for it. */
+export interface WholeBody {
+  readonly kind: 'complete';
+  readonly bytes: Buffer;
+  readonly reservation: Reservation;
+}
 
 /** What one chunk led to. */
 export type ChunkResult =
   | { readonly kind: 'partial' }
-  | { readonly kind: 'complete'; readonly bytes: Buffer; readonly reservation: Reservation }
+  | WholeBody
   /** The stream carries no such body. */
   | { readonly kind: 'unknown' }
   /** Offset, size or window is violated; the stream is not to be trusted any longer. */
@@ -54,18 +64,26 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   begin(callId: string, size: number, nowMs: number): BeginResult {
-    if (size > this.#options.maxBody) {
-      return 'tooLarge';
-    }
-    const reservation = this.#options.store.tryReserve(size);
-    if (reservation === undefined) {
-      return 'buffersFull';
+    const reservation = this.#reserve(size);
+    if (typeof reservation === 'string') {
+      return reservation;
     }
     const bytes = Buffer.allocUnsafe(size);
     this.#assemblies.set(callId, { bytes, reservation, received: 0, ungranted: 0, heardMs: nowMs });
     return 'begun';
   }
 
+  /**
+   * Takes a body that came in one piece.
+   * @param data - The whole body; it is copied, since it may be part of a larger buffer.
+   */
+  receiveWhole(data: Uint8Array): WholeBody | BodyFault {
+    const reservation = this.#reserve(data.length);
+    return typeof reservation === 'string'
+      ? reservation
+      : { kind: 'complete', bytes: Buffer.from(data), reservation };
+  }
+
   /**
    * Takes the next chunk of a body.
    * @param callId - Call that it belongs to.
@@ -132,6 +150,13 @@
     return this.#assemblies.size;
   }
 
+  #reserve(size: number): Reservation | BodyFault {
+    if (size > this.#options.maxBody) {
+      return 'tooLarge';
+    }
+    return this.#options.store.tryReserve(size) ?? 'buffersFull';
+  }
+
   #grant(callId: string, assembly: Assembly): void {
     if (assembly.ungranted < GRANT_BYTES) {
       return;
--- a/packages/node/src/connection/LinkCalls.ts
+++ b/packages/node/src/connection/LinkCalls.ts
@@ -3,7 +3,7 @@
 import type { request } from '@tanagerpond/core';
 import type { BodyStore, HeldBody } from '../process/bodies/index.js';
 import type { Counters } from '../process/metrics/index.js';
-import { BodyReceiver } from './BodyReceiver.js';
+import { BodyReceiver, type BodyFault } from './BodyReceiver.js';
 import { BodySender, CHUNK_BYTES } from './BodySender.js';
 import { buildFrame } from './LinkStream.js';
 
@@ -218,28 +218,27 @@
       this.#pending.set(callId, frame);
       return;
     }
-    this.#options.counters.count(`link_body_refused_${begun === 'tooLarge' ? 'size' : 'budget'}`);
-    this.#failBody(callId, begun === 'tooLarge' ? 'bodyTooLarge' : 'buffersFull');
+    this.#refuseBody(callId, begun);
   }
 
   #takeInlineBody(frame: Frame, value: Body<'openCall' | 'answer'>['value']): void {
-    const { callId, bodySize } = value;
-    if (value.body.length !== bodySize) {
+    const { callId, bodySize, body } = value;
+    if (body.length !== bodySize) {
       this.#options.counters.count('link_chunk_fault');
       this.#options.fail();
       return;
     }
-    const reservation = this.#options.store.tryReserve(bodySize);
-    if (bodySize > this.#options.maxBody || reservation === undefined) {
-      reservation?.release();
-      const isTooLarge = bodySize > this.#options.maxBody;
-      this.#options.counters.count(`link_body_refused_${isTooLarge ? 'size' : 'budget'}`);
-      this.#failBody(callId, isTooLarge ? 'bodyTooLarge' : 'buffersFull');
+    const result = this.#receiver.receiveWhole(body);
+    if (typeof result === 'string') {
+      this.#refuseBody(callId, result);
       return;
     }
-    // The received bytes are part of a larger buffer, which a body that is kept must not hold.
-    const bytes = Buffer.from(value.body);
-    this.#complete(callId, frame, bytes, reservation);
+    this.#complete(callId, frame, result.bytes, result.reservation);
+  }
+
+  #refuseBody(callId: string, fault: BodyFault): void {
+    this.#options.counters.count(`link_body_refused_${fault === 'tooLarge' ? 'size' : 'budget'}`);
+    this.#failBody(callId, fault === 'tooLarge' ? 'bodyTooLarge' : 'buffersFull');
   }
 
   #receiveChunk({ value }: Body<'bodyChunk'>): void {
--- a/packages/node/src/connection/stopListening.ts
+++ b/packages/node/src/connection/stopListening.ts
@@ -14,9 +14,6 @@
   const closed = new Promise<void>((resolve) => {
     server.close(() => resolve());
   });
-  if (limitMs === 0) {
-    closeOpen();
-  }
   const timer = setTimeout(closeOpen, limitMs);
   await closed;
   clearTimeout(timer);
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -3,6 +3,7 @@
 export { NodeProcess } from './process/host/index.js';
 export type { NodeAddresses, NodeProcessOptions } from './process/host/index.js';
 export * from './ports/index.js';
+export { createMachine } from './bin/createMachine.js';
 export { runNode } from './bin/runNode.js';
 export type { PlainAnswer } from './request/index.js';
 export { createLogger } from './process/log/index.js';
