Bound the maps that forget their oldest entry by one function

Four tables set an entry as the newest and dropped the oldest beyond a limit, each with its own code. PressureTable dropped one entry after it had set several, so that it could stay above its limit; it is bounded at each entry now.

--- /dev/null
+++ b/packages/core/src/process/bounds/index.ts
@@ -0,0 +1,1 @@
+export * from './setNewest.js';
--- a/packages/core/src/process/pressure/PressureTable.ts
+++ b/packages/core/src/process/pressure/PressureTable.ts
@@ -1,3 +1,4 @@
+import * as bounds from '../bounds/index.js';
 import type { QueueLevel } from '../admission/index.js';
 import type { RandomSource } from '../time/index.js';
 
@@ -75,10 +76,8 @@
       const entry = this.#resolveEntry(level.service, nowMs);
       applyLevel(entry, level);
       entry.recordedMs = nowMs;
-      this.#entries.delete(level.service);
-      this.#entries.set(level.service, entry);
+      bounds.setNewest(this.#entries, level.service, entry, SERVICES);
     });
-    this.#dropOldest();
   }
 
   /**
@@ -169,13 +168,6 @@
     const level = this.#readLevel(service, undefined, nowMs);
     return { level, byWorkspace: new Map(), recordedMs: nowMs };
   }
-
-  #dropOldest(): void {
-    const [oldest] = this.#entries.keys();
-    if (this.#entries.size > SERVICES) {
-      this.#entries.delete(oldest);
-    }
-  }
 }
 
 function applyLevel(entry: Entry, news: AdmissionLevel): void {
--- a/packages/core/src/process/routing/RetryRatio.ts
+++ b/packages/core/src/process/routing/RetryRatio.ts
@@ -1,3 +1,5 @@
+import * as bounds from '../bounds/index.js';
+
 /** Retries allowed for one success. */
 const RATIO = 0.1;
 
@@ -75,17 +77,7 @@
     state.retries *= kept;
     state.floor = Math.min(FLOOR_BURST, state.floor + elapsedMs * FLOOR_PER_MS);
     state.updatedMs = nowMs;
-    this.#edges.delete(edge);
-    this.#edges.set(edge, state);
-    this.#dropOldest();
+    bounds.setNewest(this.#edges, edge, state, EDGES);
     return state;
   }
-
-  #dropOldest(): void {
-    if (this.#edges.size <= EDGES) {
-      return;
-    }
-    const [oldest] = this.#edges.keys();
-    this.#edges.delete(oldest);
-  }
 }
--- a/packages/core/src/process/trees/ServiceUtilization.ts
+++ b/packages/core/src/process/trees/ServiceUtilization.ts
@@ -1,3 +1,5 @@
+import * as bounds from '../bounds/index.js';
+
 /**
  * Time constant of the smoothing, in milliseconds. It follows time and not the number of samples, because a reading passes
  * through several nodes on its way up a tree, and an entry node gets few samples of a route.
@@ -40,17 +42,11 @@
   record(service: string, utilization: number, nowMs: number): void {
     const known = this.#readings.get(service);
     if (known === undefined || nowMs - known.recordedMs > LIFE_MS) {
-      this.#readings.delete(service);
-      this.#readings.set(service, {
-        utilization,
-        rejected: 0,
-        answeredMs: nowMs,
-        recordedMs: nowMs,
-      });
-      this.#dropOldest();
+      const reading = { utilization, rejected: 0, answeredMs: nowMs, recordedMs: nowMs };
+      bounds.setNewest(this.#readings, service, reading, SERVICES);
       return;
     }
-    const weight = 1 - Math.exp(-Math.max(1, nowMs - known.recordedMs) / SMOOTHING_MS);
+    const weight = computeWeight(nowMs - known.recordedMs, SMOOTHING_MS);
     known.utilization += weight * (utilization - known.utilization);
     known.recordedMs = nowMs;
   }
@@ -92,16 +88,13 @@
     if (known === undefined) {
       return;
     }
-    const elapsedMs = Math.max(1, nowMs - known.answeredMs);
-    const weight = 1 - Math.exp(-elapsedMs / REJECTED_MS);
+    const weight = computeWeight(nowMs - known.answeredMs, REJECTED_MS);
     known.rejected += weight * (Number(isRejected) - known.rejected);
     known.answeredMs = nowMs;
   }
+}
 
-  #dropOldest(): void {
-    const [oldest] = this.#readings.keys();
-    if (this.#readings.size > SERVICES) {
-      this.#readings.delete(oldest);
-    }
-  }
+/** Computes the weight of a new sample in exponential smoothing by time; samples of one moment count too. */
+function computeWeight(elapsedMs: number, timeConstantMs: number): number {
+  return 1 - Math.exp(-Math.max(1, elapsedMs) / timeConstantMs);
 }
--- a/packages/core/src/process/trees/TreeProfiles.ts
+++ b/packages/core/src/process/trees/TreeProfiles.ts
@@ -1,3 +1,5 @@
+import * as bounds from '../bounds/index.js';
+
 /** What one request of a route needs at one service, its own run and all calls below it included. */
 export interface ServiceDemand {
   readonly service: string;
@@ -44,13 +46,8 @@
         known.delete(service);
       }
     });
-    this.#routes.delete(route);
-    this.#routes.set(route, known);
+    bounds.setNewest(this.#routes, route, known, ROUTES);
     known.forEach((calls, service) => this.#recordLargest(service, calls));
-    const [oldest] = this.#routes.keys();
-    if (this.#routes.size > ROUTES) {
-      this.#routes.delete(oldest);
-    }
   }
 
   /**
