Log how the end of an answer was known, and the size of its body

The line of a run did not tell whether an answer had a length, chunks, or ended with its connection, so that the hypotheses of the short answers could not be told apart.

--- a/packages/core/bench/slopes/measureCalls.ts
+++ b/packages/core/bench/slopes/measureCalls.ts
@@ -139,6 +139,7 @@
         status: 200,
         headers: [],
         bodySize: 0,
+        framing: 'length',
         shed: false,
       } as const;
       const message = { kind: 'backendResult', callId: command.callId, result } as const;
--- a/packages/core/src/process/node/NodeMessage.ts
+++ b/packages/core/src/process/node/NodeMessage.ts
@@ -20,6 +20,12 @@
   readonly bodyHasKey: boolean;
 }
 
+/**
+ * What tells where the body of an answer ends: its declared length, the last chunk, the status or method that has no
+ * body, or only the close of the connection.
+ */
+export type AnswerFraming = 'length' | 'chunked' | 'bodiless' | 'close';
+
 /** What the backend server did with a call. */
 export type BackendResult =
   | {
@@ -27,6 +33,7 @@
       readonly status: number;
       readonly headers: readonly HeaderPair[];
       readonly bodySize: number;
+      readonly framing: AnswerFraming;
       /** The backend server says that it shed the request (`tanagerpond-shed: not-run`). */
       readonly shed: boolean;
     }
--- a/packages/core/src/request/calls/BackendRuns.ts
+++ b/packages/core/src/request/calls/BackendRuns.ts
@@ -221,7 +221,7 @@
     }
     this.#finish(call, 'answered', nowMs);
     this.#services.suspects.recordSurvived(call.fingerprint, nowMs);
-    this.#services.outbox.add(createRunLog(call, result.status, nowMs));
+    this.#services.outbox.add(createRunLog(call, result, nowMs));
     const headers = identity.selectForwardedHeaders(result.headers);
     const bodyOf = this.#storeAnswer(call, result, headers);
     const answer = { status: result.status, headers, bodySize: result.bodySize, bodyOf };
--- a/packages/core/test/process/node/FakeNode.ts
+++ b/packages/core/test/process/node/FakeNode.ts
@@ -166,6 +166,7 @@
       status,
       headers: [],
       bodySize: body.length,
+      framing: 'length',
       shed: status === 503,
     } as const;
     this.receive({ kind: 'backendResult', callId, result });
--- a/packages/node/src/process/backend/BackendExchange.ts
+++ b/packages/node/src/process/backend/BackendExchange.ts
@@ -4,6 +4,7 @@
 import { parseRawHeaders } from '../../request/parseRawHeaders.js';
 import type { AnswerMeaning, BackendDialect } from '../../ports/index.js';
 import type { BodyStore, Reservation } from '../bodies/index.js';
+import { readFraming } from './readFraming.js';
 
 /** First status that is a final answer; lower ones are informational. */
 const FIRST_FINAL_STATUS = 200;
@@ -41,7 +42,7 @@
 
   #meaning: AnswerMeaning = { foreign: false, notRun: false, headers: [] };
 
-  #framed = false;
+  #framing: node.AnswerFraming = 'close';
 
   #done = false;
 
@@ -80,10 +81,7 @@
       this.#abort();
       return;
     }
-    this.#framed = raw.some(
-      ([name, value]) =>
-        name === 'content-length' || (name === 'transfer-encoding' && /chunked/i.test(value)),
-    );
+    this.#framing = readFraming(this.#options.method, status, raw);
     const declared = Number(raw.find(([name]) => name === 'content-length')?.[1] ?? 0);
     const expected = this.#options.method === 'HEAD' ? 0 : declared;
     if (expected > this.#options.maxAnswer) {
@@ -116,7 +114,11 @@
     if (this.#done || reservation === undefined) {
       return;
     }
-    if (!this.#framed && this.#size > 0 && !this.#options.dialect.allowsUnframedAnswers) {
+    if (
+      this.#framing === 'close' &&
+      this.#size > 0 &&
+      !this.#options.dialect.allowsUnframedAnswers
+    ) {
       // An answer that ends with its connection cannot be told from a truncated one.
       this.#finish({ kind: 'broken' });
       return;
@@ -126,7 +128,8 @@
     const { headers, notRun } = this.#meaning;
     const status = this.#status;
     const bodySize = this.#size;
-    this.#finish({ kind: 'answered', status, headers, bodySize, shed: notRun });
+    const framing = this.#framing;
+    this.#finish({ kind: 'answered', status, headers, bodySize, framing, shed: notRun });
   }
 
   onResponseError(): void {
--- /dev/null
+++ b/packages/node/src/process/backend/readFraming.ts
@@ -0,0 +1,28 @@
+import type { node } from '@tanagerpond/core';
+
+/** Statuses whose answers have no body, whatever their headers say. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** A transfer coding ends an answer only where the last one is chunked. */
+const LAST_CHUNKED = /(?:^|,)\s*chunked\s*$/i;
+
+/**
+ * Reads from the head of an answer what tells the end of its body (RFC 9112, section 6.3).
+ * @param method - Method of the request.
+ * @param status - Status of the answer.
+ * @param headers - Headers of the answer; names in lower case.
+ */
+export function readFraming(
+  method: string,
+  status: number,
+  headers: readonly node.HeaderPair[],
+): node.AnswerFraming {
+  if (method === 'HEAD' || BODILESS_STATUSES.has(status)) {
+    return 'bodiless';
+  }
+  const coding = headers.findLast(([name]) => name === 'transfer-encoding');
+  if (coding !== undefined) {
+    return LAST_CHUNKED.test(coding[1]) ? 'chunked' : 'close';
+  }
+  return headers.some(([name]) => name === 'content-length') ? 'length' : 'close';
+}
--- a/packages/node/test/process/backend/BackendPool.test.ts
+++ b/packages/node/test/process/backend/BackendPool.test.ts
@@ -112,6 +112,7 @@
       status: 200,
       headers: [['a', 'b']],
       bodySize: 2,
+      framing: 'length',
       shed: false,
     });
     expect(store.take('c')?.bytes.toString()).to.equal('ok');
