Keep an answer of unknown length without one on its way to the caller

Cause: a backend server may answer without a length and without chunks and end its connection after a part. The close is then the only end of the body, and it does not tell a part from the whole. The exit node took it for the end, and the entry node gave the part a length: an end that nobody proved became a proved one. Marking resets could not help, because these connections end in order.

The answer now carries what told its end, through the once table and the link to the listener. Where it is the close, the caller gets it without a length on a connection that closes, the run does not clear a suspect, and a repeatable call is attempted once more within its allowance and the retry ratio; the first answer is kept and delivered if no other one comes. An empty body without a length is such an answer too. In the product's own interface these answers stay broken runs, now also the empty ones.

--- a/packages/core/src/process/node/NodeCommand.ts
+++ b/packages/core/src/process/node/NodeCommand.ts
@@ -15,6 +15,8 @@
       readonly status: number;
       readonly headers: readonly HeaderPair[];
       readonly bodyOf: string;
+      /** Nothing but the close of a connection told the end of the body, so it must not get a length. */
+      readonly closeDelimited: boolean;
     }
   | {
       readonly kind: 'refuseRequester';
--- a/packages/core/src/process/once/OnceTable.ts
+++ b/packages/core/src/process/once/OnceTable.ts
@@ -15,6 +15,8 @@
   readonly headers: readonly HeaderPair[];
   readonly bodySize: number;
   readonly bodyOf: string;
+  /** Only the close of the connection told the end of the body. */
+  readonly closeDelimited: boolean;
 }
 
 /** What the table says about a request that may run at most once. */
--- a/packages/core/src/request/calls/BackendRuns.ts
+++ b/packages/core/src/request/calls/BackendRuns.ts
@@ -2,8 +2,9 @@
 import { CrashReportSchema } from '@tanagerpond/wire';
 import type { AdmissionDecision, AdmissionEnd } from '../../process/admission/index.js';
 import { BrokenRuns } from '../../process/suspects/index.js';
-import type { BackendResult, HeaderPair } from '../../process/node/NodeMessage.js';
+import type { BackendResult } from '../../process/node/NodeMessage.js';
 import type { NodeServices } from '../../process/node/NodeServices.js';
+import type { StoredAnswer } from '../../process/once/index.js';
 import { computeRetryAfter } from '../computeRetryAfter.js';
 import * as identity from '../identity/index.js';
 import { createRefusal, type Refusal, type RefusalReason } from '../refusals.js';
@@ -220,34 +221,33 @@
       return;
     }
     this.#finish(call, 'answered', nowMs);
-    this.#services.suspects.recordSurvived(call.fingerprint, nowMs);
+    const closeDelimited = result.framing === 'close';
+    if (!closeDelimited) {
+      this.#services.suspects.recordSurvived(call.fingerprint, nowMs);
+    }
     this.#services.outbox.add(createRunLog(call, result, nowMs));
+    const { status, bodySize } = result;
     const headers = identity.selectForwardedHeaders(result.headers);
-    const bodyOf = this.#storeAnswer(call, result, headers);
-    const answer = { status: result.status, headers, bodySize: result.bodySize, bodyOf };
+    const answer = this.#storeAnswer(call, { status, headers, bodySize, closeDelimited });
     call.replyTo.forEach((address) =>
       this.#replies.answer(address, { ...answer, replayed: false }, call, nowMs),
     );
     this.#remove(call, nowMs);
   }
 
-  #storeAnswer(
-    call: ExitCall,
-    result: ResultOf<'answered'>,
-    headers: readonly HeaderPair[],
-  ): string {
-    const { once } = call;
+  /** Keeps the answer for repeats of a call that runs at most once, and names its body. */
+  #storeAnswer(call: ExitCall, answer: Omit<StoredAnswer, 'bodyOf'>): StoredAnswer {
+    const { once, callId } = call;
     if (once === undefined) {
-      return call.callId;
+      return { ...answer, bodyOf: callId };
     }
-    const { status, bodySize } = result;
-    const bodyOf = bodySize > 0 ? `once ${once.id}` : '';
-    const stored = this.#services.once.recordAnswer(once.id, { status, headers, bodySize, bodyOf });
+    const bodyOf = answer.bodySize > 0 ? `once ${once.id}` : '';
+    const stored = this.#services.once.recordAnswer(once.id, { ...answer, bodyOf });
     if (stored === 'notKept' || bodyOf === '') {
-      return call.callId;
+      return { ...answer, bodyOf: callId };
     }
-    this.#services.outbox.add({ kind: 'keepBody', from: call.callId, to: bodyOf });
-    return bodyOf;
+    this.#services.outbox.add({ kind: 'keepBody', from: callId, to: bodyOf });
+    return { ...answer, bodyOf };
   }
 
   #handleNotSent(call: ExitCall, nowMs: number): void {
--- a/packages/core/src/request/calls/EntryAttempts.ts
+++ b/packages/core/src/request/calls/EntryAttempts.ts
@@ -9,6 +9,7 @@
 import type { EntryCloser } from './EntryCloser.js';
 import type { EntryTable } from './EntryTable.js';
 import { fromWireOutcome } from './fromWireOutcome.js';
+import { hasAttemptsLeft } from './hasAttemptsLeft.js';
 import type { TicketRequests } from './TicketRequests.js';
 
 /** Refusals that show that a VM is busy or away. */
@@ -102,12 +103,16 @@
     const { router, retryRatio, pressure } = this.#services;
     const latencyMs = nowMs - attempt.sentMs;
     router.recordOutcome(peer, { kind: 'answered', latencyMs, load: answer.load }, nowMs);
-    retryRatio.recordSuccess(call.route.service, nowMs);
+    if (!answer.closeDelimited) {
+      retryRatio.recordSuccess(call.route.service, nowMs);
+    }
     pressure.record(answer.levels, nowMs);
     this.#services.trees?.recordAnswer(call.route.name, call.route.service, answer.demands, nowMs);
     this.#closer.recordTouched(call, answer.levels);
     call.allowance.settleChild(attempt.granted, answer.unspentAllowance);
-    this.#closer.answer(call, answer, nowMs);
+    if (!answer.closeDelimited || !this.#retryForProof(call, answer, nowMs)) {
+      this.#closer.answer(call, answer, nowMs);
+    }
   }
 
   /**
@@ -220,6 +225,24 @@
     }
   }
 
+  /**
+   * Attempts a repeatable call once more because its answer may be truncated, and keeps that answer in case no other
+   * one comes.
+   */
+  #retryForProof(call: EntryCall, answer: Answer, nowMs: number): boolean {
+    const isFirst = call.fallback === undefined;
+    if (!isFirst || !call.route.repeatable || !hasAttemptsLeft(call, nowMs)) {
+      return false;
+    }
+    if (!this.#takeRetry(call, nowMs) || this.#sender.send(call, nowMs) !== undefined) {
+      return false;
+    }
+    call.fallback = { answer, receivedMs: nowMs };
+    call.mayHaveRun = true;
+    this.#services.counters.count('retriesForProof');
+    return true;
+  }
+
   #takeRetry(call: EntryCall, nowMs: number): boolean {
     return (
       call.allowance.remaining > 0 &&
--- a/packages/core/src/request/calls/EntryCall.ts
+++ b/packages/core/src/request/calls/EntryCall.ts
@@ -1,4 +1,5 @@
 import type { Route } from '@tanagerpond/bundle';
+import type { Answer } from '@tanagerpond/wire';
 import type { HeaderPair } from '../../process/node/NodeMessage.js';
 import type { CallContext } from '../CallContext.js';
 import type { Refusal } from '../refusals.js';
@@ -57,4 +58,6 @@
   mayHaveRun: boolean;
   /** This node refuses the call and asks the ticket's VM for proof that it did not run. */
   pendingRefusal?: Refusal;
+  /** Answer without a proved end, which the requester gets unless a further attempt brings another one. */
+  fallback?: { readonly answer: Answer; readonly receivedMs: number };
 }
--- a/packages/core/src/request/calls/EntryCloser.ts
+++ b/packages/core/src/request/calls/EntryCloser.ts
@@ -49,18 +49,24 @@
         ['tanagerpond-root', call.context.rootId],
       ],
       bodyOf: answer.bodySize > 0 ? answer.callId : '',
+      closeDelimited: answer.closeDelimited,
     });
     outbox.add({ kind: 'releaseBody', bodyOf: answer.callId });
     this.#close(call);
   }
 
   /**
-   * Refuses the requester. Says "unknown" in place of "not run" when an earlier attempt may have run.
+   * Refuses the requester, or gives it the answer that an earlier attempt brought. Says "unknown" in place of "not run"
+   * when an earlier attempt may have run.
    * @param call - Call that is refused.
    * @param refusal - Reason and outcome of the last attempt.
    * @param headers - Headers besides those that follow from the refusal.
    */
   refuse(call: EntryCall, refusal: Refusal, headers: readonly HeaderPair[] = []): void {
+    if (call.fallback !== undefined) {
+      this.answer(call, call.fallback.answer, call.fallback.receivedMs);
+      return;
+    }
     const isDoubtful = call.mayHaveRun && refusal.outcome === 'notRun';
     const told: Refusal = isDoubtful ? { ...refusal, outcome: 'unknown' } : refusal;
     this.#logRefusal(call, told);
@@ -147,6 +153,9 @@
     this.#table.remove(call);
     this.#services.shares.cancel(call.requestId);
     this.#services.outbox.add({ kind: 'releaseBody', bodyOf: call.requestId });
+    if (call.fallback !== undefined) {
+      this.#services.outbox.add({ kind: 'releaseBody', bodyOf: call.fallback.answer.callId });
+    }
     const parent = this.#findParent(call);
     if (parent === undefined) {
       return;
--- a/packages/core/src/request/calls/ExitReplies.ts
+++ b/packages/core/src/request/calls/ExitReplies.ts
@@ -8,7 +8,6 @@
 } from '@tanagerpond/wire';
 import { computeUtilization } from '../../process/trees/index.js';
 import { createLevelFrame } from './createLevelFrame.js';
-import type { HeaderPair } from '../../process/node/NodeMessage.js';
 import type { NodeServices } from '../../process/node/NodeServices.js';
 import type { StoredAnswer } from '../../process/once/index.js';
 import type { Refusal } from '../refusals.js';
@@ -16,11 +15,7 @@
 import { toWireOutcome } from './toWireOutcome.js';
 
 /** An answer of the backend server or of the once table. */
-export interface ExitAnswer {
-  readonly status: number;
-  readonly headers: readonly HeaderPair[];
-  readonly bodySize: number;
-  readonly bodyOf: string;
+export interface ExitAnswer extends StoredAnswer {
   readonly replayed: boolean;
 }
 
@@ -58,6 +53,7 @@
       levels: this.#listLevels(call, nowMs),
       demands: this.#listDemands(address, call, nowMs),
       body: new Uint8Array(0),
+      closeDelimited: answer.closeDelimited,
     };
     const bodyOf = answer.bodySize > 0 ? answer.bodyOf : undefined;
     this.#services.outbox.sendReply(address.peer, { case: 'answer', value }, bodyOf);
--- a/packages/core/src/request/calls/createAnswerLog.ts
+++ b/packages/core/src/request/calls/createAnswerLog.ts
@@ -7,15 +7,15 @@
 const FIRST_FAILURE = 400;
 
 /**
- * Creates the log line of a call that was answered. Successes at the first attempt are written at `debug`: there are
- * too many, and what remains to be explained of them is in the metrics.
+ * Creates the log line of a call that was answered. Successes at the first attempt with a proved end are written at
+ * `debug`: there are too many, and what remains to be explained of them is in the metrics.
  * @param call - Call that was answered.
  * @param answer - Its answer.
  * @param nowMs - Monotonic time, in milliseconds.
  */
 export function createAnswerLog(call: EntryCall, answer: Answer, nowMs: number): NodeCommand {
   const { attempt, tried, startedMs } = call;
-  const isNotable = answer.status >= FIRST_FAILURE || tried.size > 1;
+  const isNotable = answer.status >= FIRST_FAILURE || tried.size > 1 || answer.closeDelimited;
   return createEntryLog(call, {
     level: isNotable ? 'info' : 'debug',
     text: 'call was answered',
@@ -24,6 +24,7 @@
       attempts: tried.size,
       status: answer.status,
       replayed: answer.replayed,
+      closeDelimited: answer.closeDelimited,
       durationMs: Math.round(nowMs - startedMs),
     },
   });
--- a/packages/core/src/request/calls/decideRetry.ts
+++ b/packages/core/src/request/calls/decideRetry.ts
@@ -1,5 +1,6 @@
 import type { Outcome, RefusalReason } from '../refusals.js';
 import type { EntryCall } from './EntryCall.js';
+import { hasAttemptsLeft } from './hasAttemptsLeft.js';
 
 /** Attempts per call that end without reaching a backend server and cost no allowance. */
 const REDIRECT_LIMIT = 3;
@@ -38,9 +39,7 @@
   outcome: Outcome,
   nowMs: number,
 ): RetryDecision {
-  const isSpent = call.tried.size >= (call.route.maxAttempts ?? Number.POSITIVE_INFINITY);
-  const bound = call.once?.kind === 'ticket' || call.pendingRefusal !== undefined;
-  if (bound || isSpent || nowMs >= call.context.deadlineMs) {
+  if (!hasAttemptsLeft(call, nowMs)) {
     return 'refuse';
   }
   if (outcome === 'notRun' && REDIRECT_REASONS.has(reason) && call.redirects < REDIRECT_LIMIT) {
--- a/packages/core/test/process/node/FakeBackend.ts
+++ b/packages/core/test/process/node/FakeBackend.ts
@@ -1,4 +1,4 @@
-import type { NodeCommand } from '../../../src/process/node/index.js';
+import type { AnswerFraming, NodeCommand } from '../../../src/process/node/index.js';
 import type { RandomSource } from '../../../src/process/time/index.js';
 import type { EventQueue } from './EventQueue.js';
 import type { FakeNode } from './FakeNode.js';
@@ -38,6 +38,9 @@
 
   crashes = 0;
 
+  /** What tells the end of its answers. */
+  framing: AnswerFraming = 'length';
+
   constructor(options: {
     node: FakeNode;
     events: EventQueue;
@@ -130,7 +133,7 @@
 
   #answer(call: BackendCall, body: string): void {
     if (this.#running.delete(call.callId)) {
-      this.#options.node.receiveAnswer(call.callId, 200, body);
+      this.#options.node.receiveAnswer(call.callId, 200, body, this.framing);
     }
   }
 }
--- a/packages/core/test/process/node/FakeNode.ts
+++ b/packages/core/test/process/node/FakeNode.ts
@@ -1,5 +1,6 @@
 import {
   NodeMachine,
+  type AnswerFraming,
   type NodeCommand,
   type NodeMessage,
 } from '../../../src/process/node/index.js';
@@ -13,7 +14,12 @@
 
 /** How a request ended, as its sender sees it. */
 export type RequestEnd =
-  | { readonly kind: 'answered'; readonly status: number; readonly body: string }
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly body: string;
+      readonly closeDelimited: boolean;
+    }
   | {
       readonly kind: 'refused';
       readonly reason: string;
@@ -158,15 +164,25 @@
     commands.forEach((command) => this.#carryOut(command));
   }
 
+  /** Bodies that the host keeps. */
+  get bodyCount(): number {
+    return this.#bodies.size;
+  }
+
   /** Keeps an answer of the backend server under its call id and reports it. */
-  receiveAnswer(callId: string, status: number, body: string): void {
+  receiveAnswer(
+    callId: string,
+    status: number,
+    body: string,
+    framing: AnswerFraming = 'length',
+  ): void {
     this.#bodies.set(callId, body);
     const result = {
       kind: 'answered',
       status,
       headers: [],
       bodySize: body.length,
-      framing: 'length',
+      framing,
       shed: status === 503,
     } as const;
     this.receive({ kind: 'backendResult', callId, result });
@@ -196,7 +212,8 @@
         break;
       case 'answerRequester': {
         const body = this.#readBody(command.bodyOf) ?? '';
-        this.#end(command.requestId, { kind: 'answered', status: command.status, body });
+        const { status, closeDelimited } = command;
+        this.#end(command.requestId, { kind: 'answered', status, body, closeDelimited });
         break;
       }
       case 'refuseRequester': {
--- a/packages/node/src/ports/BackendDialect.ts
+++ b/packages/node/src/ports/BackendDialect.ts
@@ -18,7 +18,10 @@
   /** Path of the health endpoint. */
   readonly healthPath: string;
 
-  /** Answers may have no length and end with their connection. */
+  /**
+   * Answers may have no length and end with their connection. Such an answer cannot be told from a truncated one, so it
+   * reaches the caller in the same form; where it is not allowed, the run counts as broken.
+   */
   readonly allowsUnframedAnswers: boolean;
 
   /**
--- a/packages/node/src/process/backend/BackendExchange.ts
+++ b/packages/node/src/process/backend/BackendExchange.ts
@@ -114,12 +114,7 @@
     if (this.#done || reservation === undefined) {
       return;
     }
-    if (
-      this.#framing === 'close' &&
-      this.#size > 0 &&
-      !this.#options.dialect.allowsUnframedAnswers
-    ) {
-      // An answer that ends with its connection cannot be told from a truncated one.
+    if (this.#framing === 'close' && !this.#options.dialect.allowsUnframedAnswers) {
       this.#finish({ kind: 'broken' });
       return;
     }
--- a/packages/node/src/process/host/CommandDispatcher.ts
+++ b/packages/node/src/process/host/CommandDispatcher.ts
@@ -66,7 +66,7 @@
     (this.#handlers[command.kind] as (one: node.NodeCommand) => void)(command);
   }
 
-  #answer({ requestId, status, headers, bodyOf }: Command<'answerRequester'>): void {
+  #answer({ requestId, bodyOf, ...answer }: Command<'answerRequester'>): void {
     const body = this.#targets.store.take(bodyOf);
     if (body === undefined) {
       this.#checkKept(false, 'answerRequester');
@@ -74,7 +74,7 @@
       return;
     }
     const answered = this.#targets.listeners.some((listener) =>
-      listener.answer(requestId, { status, headers }, body),
+      listener.answer(requestId, answer, body),
     );
     if (!answered) {
       body.release();
--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -115,13 +115,17 @@
   /**
    * Answers a request.
    * @param requestId - Request of this listener.
-   * @param answer - Status and headers of the answer.
+   * @param answer - Status and headers of the answer, and whether its end is proved by nothing but a close.
    * @param body - Body of the answer; released when it is sent or the client is gone.
    * @returns False when the listener has no such request.
    */
   answer(
     requestId: string,
-    answer: { readonly status: number; readonly headers: readonly node.HeaderPair[] },
+    answer: {
+      readonly status: number;
+      readonly headers: readonly node.HeaderPair[];
+      readonly closeDelimited: boolean;
+    },
     body: HeldBody,
   ): boolean {
     const pending = this.#pending.get(requestId);
@@ -135,6 +139,7 @@
       status: answer.status,
       headers: this.#options.dialect.writeAnswer([...headers, outcome]),
       body: body.bytes,
+      closeDelimited: answer.closeDelimited,
     });
     return true;
   }
--- a/packages/node/src/request/buildRefusalAnswer.ts
+++ b/packages/node/src/request/buildRefusalAnswer.ts
@@ -10,11 +10,13 @@
 
 const SECOND_MS = 1_000;
 
-/** An answer that the host builds itself. */
+/** An answer as the host writes it. */
 export interface PlainAnswer {
   readonly status: number;
   readonly headers: readonly node.HeaderPair[];
   readonly body: Buffer;
+  /** The answer gets no length and ends with its connection, because the end of the body is not proved. */
+  readonly closeDelimited?: boolean;
 }
 
 /**
--- a/packages/node/src/request/writeAnswer.ts
+++ b/packages/node/src/request/writeAnswer.ts
@@ -5,18 +5,21 @@
 import type { PlainAnswer } from './buildRefusalAnswer.js';
 
 /**
- * Writes a whole answer.
+ * Writes an answer.
  * @param outgoing - Answer to write to.
- * @param answer - Status, headers and body; the length is added.
+ * @param answer - Status, headers and body; the length is added unless the answer is close-delimited.
  * @param last - The connection closes after it.
  */
 export function writeAnswer(outgoing: ServerResponse, answer: PlainAnswer, last: boolean): void {
   const headers = answer.headers.flat();
-  if (last) {
+  const closeDelimited = answer.closeDelimited === true;
+  if (last || closeDelimited) {
     headers.push('connection', 'close');
   }
   // The length in an answer to HEAD would be the one of the answer to GET, which is not known here.
-  if (answer.status !== 204 && answer.status !== 304 && outgoing.req.method !== 'HEAD') {
+  if (closeDelimited) {
+    Object.assign(outgoing, { useChunkedEncodingByDefault: false });
+  } else if (answer.status !== 204 && answer.status !== 304 && outgoing.req.method !== 'HEAD') {
     headers.push('content-length', String(answer.body.length));
   }
   try {
--- a/packages/node/test/request/RequestListener.test.ts
+++ b/packages/node/test/request/RequestListener.test.ts
@@ -61,7 +61,11 @@
       const body = store.take(bodySize > 0 ? requestId : '');
       store.release(requestId);
       if (body !== undefined) {
-        listener.answer(requestId, { status: 200, headers: [['x-a', '1']] }, body);
+        listener.answer(
+          requestId,
+          { status: 200, headers: [['x-a', '1']], closeDelimited: false },
+          body,
+        );
       }
     };
   }
@@ -227,7 +231,11 @@
   it('guards against an answer with a header that HTTP forbids and a caller that waits for ever', async () => {
     reply = ({ request: { requestId } }) => {
       const body = store.take('') ?? expect.fail();
-      listener.answer(requestId, { status: 200, headers: [['x', 'a\nb']] }, body);
+      listener.answer(
+        requestId,
+        { status: 200, headers: [['x', 'a\nb']], closeDelimited: false },
+        body,
+      );
     };
     const answer = await request(origin);
     expect(answer.statusCode).to.equal(502);
--- a/packages/node/test/support/RelayDecisions.ts
+++ b/packages/node/test/support/RelayDecisions.ts
@@ -128,7 +128,7 @@
   if (frame.body.case !== 'answer') {
     return [];
   }
-  const { callId, status, headers, bodySize } = frame.body.value;
+  const { callId, status, headers, bodySize, closeDelimited } = frame.body.value;
   return [
     {
       kind: 'answerRequester',
@@ -136,6 +136,7 @@
       status,
       headers: headers.map(({ name, value }): node.HeaderPair => [name, value]),
       bodyOf: bodySize > 0 ? callId : '',
+      closeDelimited,
     },
     { kind: 'releaseBody', bodyOf: callId },
   ];
