--- a/packages/core/src/process/membership/Membership.ts
+++ b/packages/core/src/process/membership/Membership.ts
@@ -24,7 +24,8 @@
 
   readonly #candidates = new Map<string, readonly VmRecord[]>();
 
-  #listedMs: number | undefined;
+  /** Time of the last read or confirmation of the list. */
+  #readMs: number | undefined;
 
   /** @param self - The VM that this node runs on. */
   constructor(self: VmIdentity) {
@@ -34,20 +35,37 @@
   /**
    * Takes a new list of the platform.
    * @param vms - Live and leaving VMs.
-   * @param nowMs - Monotonic time, in milliseconds.
+   * @param nowMs - Monotonic time, in milliseconds; undefined when the list was worked out from what was read before.
    */
-  replaceList(vms: readonly VmRecord[], nowMs: number): void {
+  replaceList(vms: readonly VmRecord[], nowMs: number | undefined): void {
     const live = vms.filter((vm) => vm.state === 'live');
     this.#vms = new Map(vms.map((vm) => [vm.name, vm]));
     this.#byService = groupBy(live, (vm) => vm.service);
     this.#byDomain = groupBy(live, (vm) => vm.failureDomain);
-    this.#listedMs = nowMs;
+    this.#readMs = nowMs ?? this.#readMs;
     [...this.#leaving.keys()]
       .filter((name) => !this.#vms.has(name))
       .forEach((name) => this.#leaving.delete(name));
     this.#candidates.clear();
   }
 
+  /**
+   * Records that the platform's list has not changed.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  confirmList(nowMs: number): void {
+    this.#readMs = nowMs;
+  }
+
+  /**
+   * Measures the time since the list was last read or confirmed, in milliseconds.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @returns Undefined before the first list.
+   */
+  measureListAge(nowMs: number): number | undefined {
+    return this.#readMs === undefined ? undefined : nowMs - this.#readMs;
+  }
+
   /**
    * Records who answered on a link. A new incarnation clears the leaving mark of its predecessor.
    * @param vm - Name of the peer.
@@ -161,7 +179,7 @@
         Number(right.service === this.#self.service) - Number(left.service === this.#self.service),
     );
     return {
-      listAgeMs: this.#listedMs === undefined ? null : nowMs - this.#listedMs,
+      listAgeMs: this.measureListAge(nowMs) ?? null,
       count: this.#vms.size,
       vms: own.slice(0, SNAPSHOT_VMS),
       announcedLeaving: [...this.#leaving.keys()].slice(0, SNAPSHOT_VMS),
--- a/packages/core/src/process/node/NodeCommand.ts
+++ b/packages/core/src/process/node/NodeCommand.ts
@@ -1,6 +1,7 @@
 import type { Frame } from '@tanagerpond/wire';
 import type { Refusal } from '../../request/index.js';
 import type { PublishedDocument } from '../documents/index.js';
+import type { DecisionBasis } from './DecisionBasis.js';
 import type { HeaderPair } from './NodeMessage.js';
 
 /**
@@ -66,4 +67,6 @@
       readonly part: string;
       readonly text: string;
       readonly fields?: Readonly<Record<string, string | number | boolean>>;
+      /** What decided; the host adds the ages to the fields when it writes the line. */
+      readonly basis?: DecisionBasis;
     };
--- a/packages/core/src/process/node/NodeMachine.ts
+++ b/packages/core/src/process/node/NodeMachine.ts
@@ -2,13 +2,14 @@
 import * as calls from '../../request/calls/index.js';
 import * as configuration from '../../version/configuration/index.js';
 import * as documents from '../documents/index.js';
-import type * as membership from '../membership/index.js';
 import type * as shares from '../shares/index.js';
 import { BackendHealth } from './BackendHealth.js';
 import { createRejectedLog } from './createRejectedLog.js';
 import { createNodeServices, type NodeMachineOptions } from './createNodeServices.js';
+import type { DecisionBasis } from './DecisionBasis.js';
 import { Departure } from './Departure.js';
 import { FrameDispatcher } from './FrameDispatcher.js';
+import { measureAges } from './measureAges.js';
 import type { NodeCommand } from './NodeCommand.js';
 import type { NodeMessage } from './NodeMessage.js';
 import type { NodeServices } from './NodeServices.js';
@@ -49,6 +50,8 @@
 
   #bundle: Bundle | undefined;
 
+  #adoptedMs = 0;
+
   #isGivenBundle = false;
 
   /** Peers exchange signed bundles; otherwise the source's documents are trusted as they are. */
@@ -115,6 +118,19 @@
     return this.#services.counters.read();
   }
 
+  /**
+   * Measures how old the beliefs behind a decision are, for its log line; to be called only for a line that is written.
+   * @param basis - What took part in the decision.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  measureAges(basis: DecisionBasis, nowMs: number): Readonly<Record<string, number>> {
+    const inForce =
+      this.#bundle === undefined
+        ? undefined
+        : { version: this.#bundle.version, adoptedMs: this.#adoptedMs };
+    return measureAges(this.#services, inForce, basis, nowMs);
+  }
+
   /**
    * Shows the state for the state dump; bounded in size and without keys, tickets and bodies.
    * @param nowMs - Monotonic time, in milliseconds.
@@ -163,7 +179,8 @@
       envelopeRead: ({ envelope }, nowMs) =>
         this.#applyConfiguration(this.#configuration.offerEnvelope(envelope, nowMs), nowMs),
       serviceUnavailable: () => this.#services.counters.count('serviceUnavailable'),
-      vmsListed: ({ vms }, nowMs) => this.#handleList(vms, nowMs),
+      vmsListed: (message, nowMs) => this.#handleList(message, nowMs),
+      listConfirmed: (_message, nowMs) => this.#services.membership.confirmList(nowMs),
       documentRead: ({ document }) => this.#documents.recordRead(document),
       sourceChanged: ({ reachable }, nowMs) => this.#documents.recordSource(reachable, nowMs),
       drainRequested: (_message, nowMs) => this.#departure.startDrain(nowMs),
@@ -267,9 +284,12 @@
     this.#exit.runs.apply(this.#services.admission.setBackend(state, nowMs), nowMs);
   }
 
-  #handleList(vms: readonly membership.VmRecord[], nowMs: number): void {
+  #handleList(
+    { vms, isDerived }: Extract<NodeMessage, { kind: 'vmsListed' }>,
+    nowMs: number,
+  ): void {
     const { membership: members, self } = this.#services;
-    members.replaceList(vms, nowMs);
+    members.replaceList(vms, isDerived === true ? undefined : nowMs);
     this.#services.shares.applyMembership(nowMs);
     this.#configureAdmission();
     this.#departure.recordListed(members.find(self.name)?.state === 'leaving');
@@ -277,6 +297,7 @@
 
   #adopt(bundle: Bundle, nowMs: number): void {
     this.#bundle = bundle;
+    this.#adoptedMs = nowMs;
     this.#configureAdmission();
     this.#services.suspects.configure({ blockMs: bundle.fleet.poisonBlockMs });
     this.#services.shares.applyBundle(bundle, nowMs);
--- a/packages/core/src/process/node/NodeMessage.ts
+++ b/packages/core/src/process/node/NodeMessage.ts
@@ -73,7 +73,14 @@
   | { readonly kind: 'bundleAdopted'; readonly bundle: Bundle }
   | { readonly kind: 'envelopeRead'; readonly envelope: string }
   | { readonly kind: 'serviceUnavailable' }
-  | { readonly kind: 'vmsListed'; readonly vms: readonly VmRecord[] }
+  | {
+      readonly kind: 'vmsListed';
+      readonly vms: readonly VmRecord[];
+      /** Worked out again from what was last read, such as without an entry that lapsed; the list stays as old as it was. */
+      readonly isDerived?: true;
+    }
+  /** The source has just told that the list has not changed. */
+  | { readonly kind: 'listConfirmed' }
   /** The node's own source published a document, which peers may ask for. */
   | { readonly kind: 'documentRead'; readonly document: PublishedDocument }
   | { readonly kind: 'sourceChanged'; readonly reachable: boolean }
--- a/packages/core/src/process/pressure/PressureTable.ts
+++ b/packages/core/src/process/pressure/PressureTable.ts
@@ -113,6 +113,22 @@
       .map((service) => this.#createLevel(service, nowMs));
   }
 
+  /**
+   * Describes the level of a service, for log lines.
+   * @param service - Name of the service.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @returns The level at which the service admits, and the time since it was last heard, in milliseconds.
+   */
+  describe(service: string, nowMs: number): Readonly<Record<string, number | undefined>> {
+    const entry = this.#entries.get(service);
+    return entry === undefined
+      ? {}
+      : {
+          admissionLevel: this.#readLevel(service, undefined, nowMs),
+          loadAgeMs: nowMs - entry.recordedMs,
+        };
+  }
+
   /** Shows the levels for the state dump, the newest ones. */
   snapshot(nowMs: number): object {
     const levels = this.list(nowMs);
--- a/packages/core/src/process/shares/HolderLevels.ts
+++ b/packages/core/src/process/shares/HolderLevels.ts
@@ -14,6 +14,8 @@
   level: number;
   atMs: number;
   askedMs: number;
+  /** Time of the last answer; undefined before the first. */
+  answeredMs: number | undefined;
   /** Answers in a row that left the holder empty. */
   dry: number;
 }
@@ -74,8 +76,8 @@
    */
   recordAsk(workspace: Workspace, holder: string, level: number, nowMs: number): void {
     const known = this.#estimates.get(workspace.name) ?? new Map<string, Estimate>();
-    const dry = known.get(holder)?.dry ?? 0;
-    known.set(holder, { level: Math.max(0, level), atMs: nowMs, askedMs: nowMs, dry });
+    const { dry = 0, answeredMs } = known.get(holder) ?? {};
+    known.set(holder, { level: Math.max(0, level), atMs: nowMs, askedMs: nowMs, answeredMs, dry });
     this.#estimates.set(workspace.name, known);
   }
 
@@ -90,10 +92,23 @@
     const estimate = this.#estimates.get(name)?.get(holder);
     if (estimate !== undefined) {
       const dry = left > ROUNDING ? 0 : estimate.dry + 1;
-      Object.assign(estimate, { level: left, atMs: nowMs, dry });
+      Object.assign(estimate, { level: left, atMs: nowMs, answeredMs: nowMs, dry });
     }
   }
 
+  /**
+   * Measures the time since a holder last told how many tokens of a workspace it has left, in milliseconds.
+   * @param name - Name of the workspace.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @returns Undefined when none has told.
+   */
+  measureAge(name: string, nowMs: number): number | undefined {
+    const answeredMs = [...(this.#estimates.get(name)?.values() ?? [])].flatMap(
+      (estimate) => estimate.answeredMs ?? [],
+    );
+    return answeredMs.length === 0 ? undefined : nowMs - Math.max(...answeredMs);
+  }
+
   /**
    * Forgets workspaces without demand, and holders that are not holders any more.
    * @param demands - Demand by workspace.
--- a/packages/core/src/process/shares/ShareLedger.ts
+++ b/packages/core/src/process/shares/ShareLedger.ts
@@ -11,7 +11,7 @@
 import { RequestQueue } from './RequestQueue.js';
 import type { ShareCommand } from './ShareCommand.js';
 import type { ShareFrame } from './ShareFrame.js';
-import type { ShareSnapshot } from './ShareSnapshot.js';
+import type { ShareDescription, ShareSnapshot } from './ShareSnapshot.js';
 import { computeSubleaseMs } from './shareLimits.js';
 import { SubleaseTable } from './SubleaseTable.js';
 import { TokenBorrower } from './TokenBorrower.js';
@@ -187,6 +187,20 @@
     ];
   }
 
+  /**
+   * Describes the part of a rate that this node decides with, for log lines: the part that it has as a whole and the time
+   * since that changed or was renewed, and the time since a holder last told what it has left, in milliseconds.
+   * @param workspace - Name of the workspace.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  describeShare(workspace: string, nowMs: number): ShareDescription {
+    return {
+      shareFraction: this.#pool.fraction,
+      shareAgeMs: this.#pool.measureShareAge(nowMs),
+      holderAgeMs: this.#borrower.measureAge(workspace, nowMs),
+    };
+  }
+
   /**
    * Shows shares and levels for the state dump; at most 64 workspaces.
    * @param nowMs - Monotonic time, in milliseconds.
--- a/packages/core/src/process/shares/ShareSnapshot.ts
+++ b/packages/core/src/process/shares/ShareSnapshot.ts
@@ -24,6 +24,14 @@
   readonly tokens: number;
 }
 
+/** Part of a rate that a node decides with, for log lines. */
+export interface ShareDescription extends Readonly<Record<string, number | undefined>> {
+  /** Part of every rate and burst that the node has as a whole. */
+  readonly shareFraction: number;
+  readonly shareAgeMs: number | undefined;
+  readonly holderAgeMs: number | undefined;
+}
+
 /** State of a share ledger for the state dump; at most 64 workspaces. */
 export interface ShareSnapshot {
   readonly holder: boolean;
--- a/packages/core/src/process/shares/TokenBorrower.ts
+++ b/packages/core/src/process/shares/TokenBorrower.ts
@@ -161,6 +161,15 @@
     return this.#asks.isSilent(holder);
   }
 
+  /**
+   * Measures the time since a holder last told what it has left for a workspace, in milliseconds.
+   * @param workspace - Name of the workspace.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  measureAge(workspace: string, nowMs: number): number | undefined {
+    return this.#levels.measureAge(workspace, nowMs);
+  }
+
   /** Counts the requests under way. */
   count(): number {
     return this.#asks.count();
--- a/packages/core/src/process/shares/TokenPool.ts
+++ b/packages/core/src/process/shares/TokenPool.ts
@@ -32,6 +32,8 @@
 
   #total = 0;
 
+  #changedMs: number | undefined;
+
   #nextExpiryMs = Number.POSITIVE_INFINITY;
 
   /**
@@ -65,6 +67,7 @@
       this.#advanceAll(share.expiresMs);
       this.#shares.delete(owner);
       this.#updateTotal();
+      this.#changedMs = share.expiresMs;
     });
     this.#nextExpiryMs = Math.min(...[...this.#shares.values()].map((share) => share.expiresMs));
   }
@@ -95,6 +98,7 @@
     const expiresMs = Math.max(knownMs, share.expiresMs);
     this.#shares.set(owner, { fraction: share.fraction, expiresMs });
     this.#updateTotal();
+    this.#changedMs = nowMs;
     this.#nextExpiryMs = Math.min(this.#nextExpiryMs, expiresMs);
     levels.forEach((level, name) => {
       this.#buckets.get(name)?.add(level, share.fraction);
@@ -123,12 +127,14 @@
     });
     this.#shares.delete(owner);
     this.#updateTotal();
+    this.#changedMs = nowMs;
     return levels;
   }
 
   /** Forgets every share and every token; subleased capacity is forgotten too. */
   clear(): void {
     this.#shares.clear();
+    this.#changedMs = undefined;
     this.#updateTotal();
     this.#nextExpiryMs = Number.POSITIVE_INFINITY;
     this.#buckets.forEach((bucket) => bucket.clear());
@@ -197,6 +203,20 @@
     this.#advance(bucket, nowMs);
   }
 
+  /** Part of every rate and burst that the pool has. */
+  get fraction(): number {
+    return this.#total;
+  }
+
+  /**
+   * Measures the time since a share was last taken in, renewed, or given away, in milliseconds.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @returns Undefined while the pool has had no share.
+   */
+  measureShareAge(nowMs: number): number | undefined {
+    return this.#changedMs === undefined ? undefined : nowMs - this.#changedMs;
+  }
+
   /** Shows the shares and levels, at most 64 workspaces. */
   snapshot(nowMs: number): PoolSnapshot {
     this.#advanceAll(nowMs);
--- a/packages/core/src/process/trees/ServiceUtilization.ts
+++ b/packages/core/src/process/trees/ServiceUtilization.ts
@@ -64,6 +64,17 @@
       : known.utilization + REJECTED_UTILIZATION * this.readRejected(service, nowMs);
   }
 
+  /**
+   * Measures the time since the load of a service was last heard of, in milliseconds.
+   * @param service - Name of the service.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @returns Undefined when it was never heard of.
+   */
+  measureAge(service: string, nowMs: number): number | undefined {
+    const known = this.#readings.get(service);
+    return known === undefined ? undefined : nowMs - known.recordedMs;
+  }
+
   /**
    * Reads the part of the own calls to a service that was turned away lately. It decays without calls: a node that
    * sheds all requests that lead to the service makes none, and would shed for ever.
--- a/packages/core/src/process/trees/TreeAdmission.ts
+++ b/packages/core/src/process/trees/TreeAdmission.ts
@@ -145,6 +145,20 @@
     });
   }
 
+  /**
+   * Describes what is shed for a service and what that follows, for log lines.
+   * @param service - Name of the service.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @returns The shed level, the utilization, and the time since it was last heard, in milliseconds.
+   */
+  describe(service: string, nowMs: number): Readonly<Record<string, number | undefined>> {
+    return {
+      shedLevel: this.#levels.get(service) ?? 0,
+      utilization: this.#utilization.read(service, nowMs),
+      loadAgeMs: this.#utilization.measureAge(service, nowMs),
+    };
+  }
+
   /** Shows the levels that shed anything, for the state dump. */
   snapshot(): object {
     return Object.fromEntries([...this.#levels].filter(([, level]) => level > 0).slice(0, 64));
--- a/packages/core/src/request/calls/EntryCloser.ts
+++ b/packages/core/src/request/calls/EntryCloser.ts
@@ -4,6 +4,7 @@
 import type { NodeServices } from '../../process/node/NodeServices.js';
 import type { Refusal } from '../refusals.js';
 import { createAnswerLog } from './createAnswerLog.js';
+import { createBasis } from './createBasis.js';
 import { createEntryLog } from './createEntryLog.js';
 import type { EntryCall } from './EntryCall.js';
 import type { EntryTable } from './EntryTable.js';
@@ -36,9 +37,9 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   answer(call: EntryCall, answer: Answer, nowMs: number): void {
-    const { outbox, counters } = this.#services;
+    const { outbox, counters, self } = this.#services;
     counters.count('answered');
-    outbox.add(createAnswerLog(call, answer, nowMs));
+    outbox.add(createAnswerLog(call, answer, self.name, nowMs));
     outbox.add({
       kind: 'answerRequester',
       requestId: call.requestId,
@@ -125,8 +126,8 @@
 
   #logRefusal(call: EntryCall, { reason, outcome, detail }: Refusal): void {
     const { context, attempt } = call;
-    const line = createEntryLog(call, {
-      level: 'info',
+    const line = {
+      level: 'info' as const,
       text: 'call was refused',
       fields: {
         priority: context.priority,
@@ -135,8 +136,9 @@
         outcome,
         ...(detail === undefined ? {} : { detail }),
       },
-    });
-    this.#services.outbox.add(line);
+    };
+    const { outbox, self } = this.#services;
+    outbox.add(createEntryLog(call, line, createBasis(call, self.name, reason, detail)));
   }
 
   #findParent(call: EntryCall): ExitCall | undefined {
--- a/packages/core/src/request/calls/createAnswerLog.ts
+++ b/packages/core/src/request/calls/createAnswerLog.ts
@@ -1,5 +1,6 @@
 import type { Answer } from '@tanagerpond/wire';
 import type { NodeCommand } from '../../process/node/NodeCommand.js';
+import { createBasis } from './createBasis.js';
 import { createEntryLog } from './createEntryLog.js';
 import type { EntryCall } from './EntryCall.js';
 
@@ -11,13 +12,19 @@
  * too many, and what remains to be explained of them is in the metrics.
  * @param call - Call that was answered.
  * @param answer - Its answer.
+ * @param self - Name of the own VM.
  * @param nowMs - Monotonic time, in milliseconds.
  */
-export function createAnswerLog(call: EntryCall, answer: Answer, nowMs: number): NodeCommand {
+export function createAnswerLog(
+  call: EntryCall,
+  answer: Answer,
+  self: string,
+  nowMs: number,
+): NodeCommand {
   const { attempt, tried, startedMs } = call;
   const isNotable = answer.status >= FIRST_FAILURE || tried.size > 1;
-  return createEntryLog(call, {
-    level: isNotable ? 'info' : 'debug',
+  const line = {
+    level: isNotable ? ('info' as const) : ('debug' as const),
     text: 'call was answered',
     fields: {
       vm: attempt?.vm ?? '',
@@ -26,5 +33,6 @@
       replayed: answer.replayed,
       durationMs: Math.round(nowMs - startedMs),
     },
-  });
+  };
+  return createEntryLog(call, line, isNotable ? createBasis(call, self) : undefined);
 }
--- a/packages/core/src/request/calls/createEntryLog.ts
+++ b/packages/core/src/request/calls/createEntryLog.ts
@@ -1,4 +1,5 @@
 import type { NodeCommand } from '../../process/node/NodeCommand.js';
+import type { DecisionBasis } from '../../process/node/DecisionBasis.js';
 import type { EntryCall } from './EntryCall.js';
 
 type LogCommand = Extract<NodeCommand, { kind: 'log' }>;
@@ -7,10 +8,12 @@
  * Creates a log line about a call that this node started, with what identifies it.
  * @param call - The call.
  * @param line - Level, text and what the line says besides.
+ * @param basis - What decided; absent for a line that needs no explanation.
  */
 export function createEntryLog(
   { context, parentCallId, attemptId }: EntryCall,
-  { level, text, fields }: Omit<Required<LogCommand>, 'kind' | 'part'>,
+  { level, text, fields }: Omit<Required<LogCommand>, 'kind' | 'part' | 'basis'>,
+  basis?: DecisionBasis,
 ): LogCommand {
   return {
     kind: 'log',
@@ -25,5 +28,6 @@
       version: context.bundleVersion,
       ...fields,
     },
+    ...(basis === undefined ? {} : { basis }),
   };
 }
--- a/packages/node/src/connection/LinkStream.ts
+++ b/packages/node/src/connection/LinkStream.ts
@@ -83,6 +83,11 @@
     return this.#end === undefined;
   }
 
+  /** Monotonic time of the last frame of the peer, in milliseconds; a pause of this process counts as heard. */
+  get heardMs(): number {
+    return this.#heardMs;
+  }
+
   /**
    * Writes a frame. The frames of one turn of the event loop travel in one message.
    * @param frame - Frame to send; dropped when the stream has ended.
--- a/packages/node/src/connection/PeerLink.ts
+++ b/packages/node/src/connection/PeerLink.ts
@@ -90,6 +90,11 @@
     return this.#stream.open;
   }
 
+  /** Monotonic time of the last frame of the peer, in milliseconds; that of the opening before the first. */
+  get heardMs(): number {
+    return this.#stream.heardMs;
+  }
+
   /** Calls in progress on the link. */
   get calls(): number {
     return (this.#calls?.count ?? 0) + this.#queue.length;
--- a/packages/node/src/connection/PeerLinks.ts
+++ b/packages/node/src/connection/PeerLinks.ts
@@ -4,6 +4,7 @@
 import type { Log } from '../process/log/index.js';
 import type { Counters } from '../process/metrics/index.js';
 import type { LinkEnd } from './LinkStream.js';
+import { LostLinks } from './LostLinks.js';
 import { PeerLink } from './PeerLink.js';
 import type { LinkTransport, PeerLinkOptions } from './PeerLink.js';
 import type { InboundTransport } from './PeerServer.js';
@@ -62,6 +63,9 @@
 
   readonly #failedMs = new Map<string, number>();
 
+  /** Links of this process that were lost. */
+  readonly #lost = new LostLinks();
+
   #addresses: ReadonlyMap<string, string> = new Map();
 
   #timer: NodeJS.Timeout | undefined;
@@ -138,6 +142,17 @@
     this.#arriving.add(link);
   }
 
+  /**
+   * Measures the time since the last frame on the stream that this process opened to a peer, in milliseconds.
+   * @param peer - Name of the VM.
+   * @returns Undefined when nothing was ever heard, or when the stream was idle and closed.
+   */
+  measureLinkAge(peer: string): number | undefined {
+    const link = this.#outbound.get(peer);
+    const heardMs = link?.hello === undefined ? this.#lost.find(peer)?.heardMs : link.heardMs;
+    return heardMs === undefined ? undefined : this.#options.now() - heardMs;
+  }
+
   /** Shows the links for the state dump; at most 64 in each direction. */
   snapshot(): object {
     const outbound = [...this.#outbound].map(([peer, link]) => describeLink(peer, link));
@@ -198,6 +213,7 @@
 
   #enterOutbound(peer: string, { incarnation }: Hello): void {
     this.#failedMs.delete(peer);
+    this.#lost.take(peer);
     this.#options.publish({ kind: 'linkUp', peer, incarnation, inbound: false });
   }
 
@@ -219,6 +235,10 @@
       setImmediate(() => this.#options.publish({ kind: 'linkFailed', peer }));
       return;
     }
+    if (end !== 'idle') {
+      const { incarnation } = hello;
+      this.#lost.record(peer, { incarnation, heardMs: link.heardMs, lostMs: this.#options.now() });
+    }
     this.#reportDown(hello, false, end);
   }
 
--- a/packages/node/src/process/decisions/Decisions.ts
+++ b/packages/node/src/process/decisions/Decisions.ts
@@ -15,6 +15,13 @@
    */
   snapshot(nowMs: number): object;
 
+  /**
+   * Measures how old the beliefs behind a decision are, for a log line that is written.
+   * @param basis - What took part in the decision.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  measureAges(basis: node.DecisionBasis, nowMs: number): Readonly<Record<string, number>>;
+
   /** Tells whether the node serves callers. */
   isServing(): boolean;
 
--- a/packages/node/src/process/host/CommandDispatcher.ts
+++ b/packages/node/src/process/host/CommandDispatcher.ts
@@ -7,7 +7,7 @@
 import type { RequestListener } from '../../request/index.js';
 import type { BackendPool } from '../backend/index.js';
 import type { BodyStore, HeldBody } from '../bodies/index.js';
-import type { Log } from '../log/index.js';
+import type { Log, LogFields } from '../log/index.js';
 import type { Counters } from '../metrics/index.js';
 import type { StateSource } from '../../ports/index.js';
 
@@ -22,6 +22,8 @@
   readonly log: Log;
   readonly publish: (message: node.NodeMessage) => void;
   readonly finishDrain: () => void;
+  /** Measures how old the beliefs of the decisions are, in milliseconds. */
+  readonly measureAges: (basis: node.DecisionBasis) => LogFields;
 }
 
 type Command<K extends node.NodeCommand['kind']> = Extract<node.NodeCommand, { kind: K }>;
@@ -38,7 +40,7 @@
 
   /** @param targets - Parts of the process. */
   constructor(targets: CommandTargets) {
-    const { backend, source, store, log } = targets;
+    const { backend, source, store } = targets;
     this.#targets = targets;
     this.#handlers = {
       answerRequester: (command) => this.#answer(command),
@@ -54,7 +56,7 @@
       watchService: ({ enabled }) => source.watchService(enabled),
       documentReceived: ({ document }) => source.acceptDocument(document),
       drained: () => targets.finishDrain(),
-      log: ({ level, part, text, fields }) => log.write(level, part, text, fields),
+      log: (command) => this.#log(command),
     };
   }
 
@@ -114,6 +116,25 @@
     this.#targets.backend.call(command, body);
   }
 
+  /** The ages are measured only when the line is written: under overload most lines are left out. */
+  #log({ level, part, text, fields, basis }: Command<'log'>): void {
+    const { log } = this.#targets;
+    if (basis === undefined) {
+      log.write(level, part, text, fields);
+      return;
+    }
+    log.write(level, part, text, () => ({ ...fields, ...this.#measureAges(basis) }));
+  }
+
+  #measureAges(basis: node.DecisionBasis): LogFields {
+    const { links, measureAges } = this.#targets;
+    const linkAgeMs = basis.linkTo === undefined ? undefined : links.measureLinkAge(basis.linkTo);
+    return {
+      ...measureAges(basis),
+      ...(linkAgeMs === undefined ? {} : { linkAgeMs: Math.round(linkAgeMs) }),
+    };
+  }
+
   /** Takes the body that a frame announces; a frame whose body is missing or of another size must not be sent. */
   #takeBody(
     frame: Frame,
--- a/packages/node/src/process/host/NodeProcess.ts
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -145,6 +145,7 @@
       backend: this.#backend,
       source: this.#source,
       finishDrain: () => this.#drain.send(),
+      measureAges: (basis) => this.#decisions.measureAges(basis, readNow()),
     });
     this.#task = new DecisionTask({
       decisions: this.#decisions,
--- a/packages/node/src/process/log/createLogger.ts
+++ b/packages/node/src/process/log/createLogger.ts
@@ -14,9 +14,9 @@
    * @param level - Severity.
    * @param part - Fixed prefix of the part, such as `link`.
    * @param text - Short sentence without changing content; what changes goes into the fields.
-   * @param fields - Further data.
+   * @param fields - Further data; a function is called only when the line is written.
    */
-  write(level: LogLevel, part: string, text: string, fields?: LogFields): void;
+  write(level: LogLevel, part: string, text: string, fields?: LogFields | (() => LogFields)): void;
 }
 
 /** The log of a process, whose level can change. */
@@ -76,7 +76,8 @@
           : countRepeat(repeated, `${part}: ${text}`, options.now());
       if (count !== undefined && options.dropIfFull?.() !== true) {
         const repeats = count > 0 ? { repeated: count } : {};
-        logger.log({ ...fields, ...repeats, level, message: `${part}: ${text}` });
+        const data = typeof fields === 'function' ? fields() : fields;
+        logger.log({ ...data, ...repeats, level, message: `${part}: ${text}` });
       }
     },
   };
--- a/packages/node/src/process/platform/PlatformReader.ts
+++ b/packages/node/src/process/platform/PlatformReader.ts
@@ -75,6 +75,7 @@
       computeSpreadMs: () =>
         Math.max(SHORTEST_VMS_SPREAD_MS, this.#listedVms * VMS_SPREAD_PER_VM_MS),
       onValue: (text) => this.#acceptList(text),
+      onSame: () => options.publish({ kind: 'listConfirmed' }),
       onFailure: (error) => this.#report('membership', error),
     });
   }
--- a/packages/node/src/process/platform/ValueWatch.ts
+++ b/packages/node/src/process/platform/ValueWatch.ts
@@ -11,6 +11,8 @@
   /** Computes the longest random pause after a new value, in milliseconds; spreads the reads of a large fleet. */
   readonly computeSpreadMs: () => number;
   readonly onValue: (text: string) => void;
+  /** A read told that the value is still the same. */
+  readonly onSame?: () => void;
   readonly onFailure: (error: PlatformError) => void;
 }
 
@@ -82,6 +84,7 @@
       return false;
     }
     if (result.value === undefined) {
+      this.#options.onSame?.();
       return false;
     }
     this.#index = result.value.index;
--- a/packages/node/test/connection/PeerLinks.test.ts
+++ b/packages/node/test/connection/PeerLinks.test.ts
@@ -15,10 +15,12 @@
   let messages: node.NodeMessage[];
   let counters: Counters;
   let opened: [address: string, peerEnd: MemoryStream][];
+  let skipMs: number;
 
   beforeEach(() => {
     messages = [];
     opened = [];
+    skipMs = 0;
     counters = new Counters();
     links = new PeerLinks({
       buildHello: () => buildFrame({ case: 'hello', value: { vm: 'self', incarnation: FIRST } }),
@@ -32,7 +34,7 @@
       maxBody: 1024,
       counters,
       log: { write: () => undefined },
-      now: () => performance.now(),
+      now: () => performance.now() + skipMs,
     });
   });
 
@@ -96,6 +98,25 @@
     expect(opened.map(([address]) => address)).to.deep.equal(['10.0.0.1:1', '10.0.0.2:1']);
   });
 
+  it('guards against a dead peer that looks like one heard of a moment ago', async () => {
+    listAddress('10.0.0.1:1');
+    expect(links.measureLinkAge('peer')).to.equal(undefined);
+    links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
+    expect(links.measureLinkAge('peer')).to.equal(undefined);
+    sendHello(opened[0][1], FIRST);
+    await settle();
+    skipMs += 1_000;
+    expect(links.measureLinkAge('peer')).to.be.within(1_000, 1_500);
+    opened[0][1].abort();
+    await settle();
+    skipMs += 2_000;
+    links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
+    expect(links.measureLinkAge('peer')).to.be.within(3_000, 3_500);
+    sendHello(opened[1][1], SECOND);
+    await settle();
+    expect(links.measureLinkAge('peer')).to.be.within(0, 500);
+  });
+
   it('guards against another VM that answers at the address of a peer', async () => {
     listAddress('10.0.0.1:1');
     links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
--- a/packages/node/test/process/DecisionTask.test.ts
+++ b/packages/node/test/process/DecisionTask.test.ts
@@ -24,6 +24,7 @@
           return message.kind === 'drainRequested' ? buildCommands() : [];
         },
         snapshot: () => ({}),
+        measureAges: () => ({}),
         isServing: () => true,
         readCounters: () => ({}),
       },
--- a/packages/node/test/process/createLogger.test.ts
+++ b/packages/node/test/process/createLogger.test.ts
@@ -26,6 +26,34 @@
     ]);
   });
 
+  it('guards against fields that are worked out for a line that is left out', () => {
+    const written: string[] = [];
+    let isFull = true;
+    const log = createLogger({
+      level: 'info',
+      stream: new Writable({
+        write: (chunk: Buffer, _encoding, done) => {
+          written.push(String(chunk));
+          done();
+        },
+      }),
+      dropIfFull: () => isFull,
+      now: () => 0,
+    });
+    let calls = 0;
+    const readFields = (): { readonly listAgeMs: number } => {
+      calls += 1;
+      return { listAgeMs: 40 };
+    };
+    log.write('info', 'caller', 'left out', readFields);
+    isFull = false;
+    log.write('debug', 'caller', 'below the level', readFields);
+    expect(calls).to.equal(0);
+    log.write('info', 'caller', 'written', readFields);
+    expect(calls).to.equal(1);
+    expect(JSON.parse(written[0])).to.include({ message: 'caller: written', listAgeMs: 40 });
+  });
+
   it('guards against a failure that fills the log, and against repetitions that nobody sees', () => {
     const lines: Record<string, unknown>[] = [];
     let nowMs = 0;
--- a/packages/node/test/process/platform/PlatformReader.test.ts
+++ b/packages/node/test/process/platform/PlatformReader.test.ts
@@ -113,6 +113,23 @@
     expect(urls.length).to.equal(3);
   });
 
+  it('guards against a list that grows old although every read says that it has not changed', async () => {
+    handle = (url, outgoing) => {
+      if (url.startsWith('/vms?after=7')) {
+        outgoing.writeHead(304).end();
+        return;
+      }
+      outgoing.setHeader('platform-index', 7);
+      outgoing.end(JSON.stringify({ vms: [VM] }));
+    };
+    reader.start();
+    await waitFor('the confirmation', () => messages.length >= 2);
+    expect(messages.slice(0, 2)).to.deep.equal([
+      { kind: 'vmsListed', vms: [VM] },
+      { kind: 'listConfirmed' },
+    ]);
+  });
+
   it('guards against a malformed list that replaces a good one, and against noise in the log', async () => {
     const lists = [
       { index: 1, vms: [VM] },
--- a/packages/node/test/support/RelayDecisions.ts
+++ b/packages/node/test/support/RelayDecisions.ts
@@ -43,6 +43,10 @@
     return { messages: this.messages.length };
   }
 
+  measureAges(): Readonly<Record<string, number>> {
+    return { messages: this.messages.length };
+  }
+
   readCounters(): Readonly<Record<string, number>> {
     return { messages: this.messages.length };
   }
