--- a/packages/core/src/process/node/NodeMachine.ts
+++ b/packages/core/src/process/node/NodeMachine.ts
@@ -4,6 +4,7 @@
 import * as documents from '../documents/index.js';
 import type * as shares from '../shares/index.js';
 import { BackendHealth } from './BackendHealth.js';
+import { createBackendLog } from './createBackendLog.js';
 import { createRejectedLog } from './createRejectedLog.js';
 import { createNodeServices, type NodeMachineOptions } from './createNodeServices.js';
 import type { DecisionBasis } from './DecisionBasis.js';
@@ -277,6 +278,10 @@
     if (state === undefined) {
       return;
     }
+    const change = this.#health.recordState(state, nowMs);
+    if (change !== undefined) {
+      this.#services.outbox.add(createBackendLog(change));
+    }
     this.#departure.recordBackendDrain(state === 'draining');
     if (state === 'down') {
       this.#exit.runs.confirmCrash(nowMs);
--- /dev/null
+++ b/packages/core/test/process/node/BackendHealth.test.ts
@@ -0,0 +1,60 @@
+import { expect } from 'chai';
+import {
+  NodeMachine,
+  type NodeCommand,
+  type NodeMessage,
+} from '../../../src/process/node/index.js';
+import { SeededSource } from '../../support/SeededSource.js';
+
+const SELF = { name: 'deep-1', service: 'deep', failureDomain: 'east', incarnation: 'i1' };
+
+describe('the health of the backend server', () => {
+  let machine: NodeMachine;
+
+  beforeEach(() => {
+    machine = new NodeMachine({
+      self: SELF,
+      random: new SeededSource(5),
+      trustedKeys: [],
+      startedMs: 0,
+      drainLimitMs: 1_000,
+    });
+  });
+
+  function findLines(nowMs: number, message: NodeMessage): readonly NodeCommand[] {
+    return machine.handle(message, nowMs).filter(({ kind }) => kind === 'log');
+  }
+
+  function report(
+    state: 'healthy' | 'draining' | 'unreachable',
+    nowMs: number,
+  ): readonly NodeCommand[] {
+    return findLines(nowMs, { kind: 'backendHealth', state });
+  }
+
+  it('guards against a backend server that is lost or comes back without a line that says for how long', () => {
+    expect(report('healthy', 1_000)).to.deep.equal([]);
+    const answer = { status: 200, headers: [], bodySize: 0, shed: false } as const;
+    const answered = { kind: 'answered', ...answer } as const;
+    findLines(2_000, { kind: 'backendResult', callId: 'c1', result: answered });
+    findLines(4_000, { kind: 'backendResult', callId: 'c2', result: { kind: 'broken' } });
+    const line = { kind: 'log', part: 'backend' };
+    expect(report('unreachable', 4_500)).to.deep.equal([
+      {
+        ...line,
+        level: 'warn',
+        text: 'backend server is down',
+        fields: { former: 'up', formerMs: 3_500, lastAnswerAgeMs: 2_500 },
+      },
+    ]);
+    expect(report('unreachable', 5_000)).to.deep.equal([]);
+    expect(report('healthy', 9_500)).to.deep.equal([
+      {
+        ...line,
+        level: 'info',
+        text: 'backend server is up again',
+        fields: { former: 'down', awayMs: 5_000, lastAnswerAgeMs: 7_500 },
+      },
+    ]);
+  });
+});
--- a/packages/node/src/connection/PeerLinks.ts
+++ b/packages/node/src/connection/PeerLinks.ts
@@ -1,7 +1,7 @@
 import type { node, membership } from '@tanagerpond/core';
 import type { Frame, Hello } from '@tanagerpond/wire';
 import type { BodyStore, HeldBody } from '../process/bodies/index.js';
-import type { Log } from '../process/log/index.js';
+import type { Log, LogFields } from '../process/log/index.js';
 import type { Counters } from '../process/metrics/index.js';
 import type { LinkEnd } from './LinkStream.js';
 import { LostLinks } from './LostLinks.js';
@@ -63,9 +63,11 @@
 
   readonly #failedMs = new Map<string, number>();
 
-  /** Links of this process that were lost. */
+  /** Lost streams that this process opened, and lost ones that peers opened. */
   readonly #lost = new LostLinks();
 
+  readonly #lostInbound = new LostLinks();
+
   #addresses: ReadonlyMap<string, string> = new Map();
 
   #timer: NodeJS.Timeout | undefined;
@@ -213,7 +215,7 @@
 
   #enterOutbound(peer: string, { incarnation }: Hello): void {
     this.#failedMs.delete(peer);
-    this.#lost.take(peer);
+    this.#reportReturn(peer, incarnation, false);
     this.#options.publish({ kind: 'linkUp', peer, incarnation, inbound: false });
   }
 
@@ -222,6 +224,7 @@
     this.#arriving.delete(link);
     this.#inbound.get(peer)?.link.close('replaced');
     this.#inbound.set(peer, { link, hello });
+    this.#reportReturn(peer, incarnation, true);
     this.#options.publish({ kind: 'linkUp', peer, incarnation, inbound: true });
   }
 
@@ -231,15 +234,15 @@
     }
     if (hello === undefined) {
       this.#failedMs.set(peer, this.#options.now());
-      this.#options.log.write('warn', 'link', 'peer link could not be opened', { peer, end });
+      this.#options.log.write('warn', 'link', 'peer link could not be opened', {
+        peer,
+        end,
+        ...this.#describeLoss(peer, false),
+      });
       setImmediate(() => this.#options.publish({ kind: 'linkFailed', peer }));
       return;
     }
-    if (end !== 'idle') {
-      const { incarnation } = hello;
-      this.#lost.record(peer, { incarnation, heardMs: link.heardMs, lostMs: this.#options.now() });
-    }
-    this.#reportDown(hello, false, end);
+    this.#reportDown(hello, false, end, link.heardMs);
   }
 
   #endInbound(link: PeerLink, hello: Hello | undefined, end: LinkEnd, unfinished: number): void {
@@ -251,18 +254,54 @@
       this.#inbound.delete(hello.vm);
     }
     if (end !== 'ended' || unfinished > 0) {
-      this.#reportDown(hello, true, end);
+      this.#reportDown(hello, true, end, link.heardMs);
     }
   }
 
-  #reportDown({ vm: peer, incarnation }: Hello, inbound: boolean, end: LinkEnd): void {
+  #reportDown(
+    { vm: peer, incarnation }: Hello,
+    inbound: boolean,
+    end: LinkEnd,
+    heardMs: number,
+  ): void {
     if (end === 'idle') {
       return;
     }
-    this.#options.log.write('warn', 'link', 'peer link is down', { peer, inbound, end });
+    const lostMs = this.#options.now();
+    this.#selectLost(inbound).record(peer, { incarnation, heardMs, lostMs });
+    this.#options.log.write('warn', 'link', 'peer link is down', {
+      peer,
+      inbound,
+      end,
+      incarnation,
+      linkAgeMs: Math.round(lostMs - heardMs),
+    });
     this.#options.publish({ kind: 'linkDown', peer, incarnation, inbound });
   }
 
+  #reportReturn(peer: string, incarnation: string, inbound: boolean): void {
+    const loss = this.#describeLoss(peer, inbound);
+    if (this.#selectLost(inbound).take(peer) !== undefined) {
+      const fields = { peer, inbound, incarnation, ...loss };
+      this.#options.log.write('info', 'link', 'peer link is up again', fields);
+    }
+  }
+
+  /** Describes for how long a lost link is away, and the incarnation that was at its other end. */
+  #describeLoss(peer: string, inbound: boolean): LogFields {
+    const lost = this.#selectLost(inbound).find(peer);
+    return lost === undefined
+      ? {}
+      : {
+          awayMs: Math.round(this.#options.now() - lost.lostMs),
+          formerIncarnation: lost.incarnation,
+        };
+  }
+
+  #selectLost(inbound: boolean): LostLinks {
+    return inbound ? this.#lostInbound : this.#lost;
+  }
+
   #advance(): void {
     const nowMs = this.#options.now();
     [...this.#arriving].forEach((link) => link.advance(nowMs));
--- a/packages/node/src/process/platform/PlatformReader.ts
+++ b/packages/node/src/process/platform/PlatformReader.ts
@@ -5,6 +5,7 @@
 import type { Counters } from '../metrics/index.js';
 import { PlatformClient } from './PlatformClient.js';
 import { PlatformError } from './PlatformError.js';
+import { Reachability } from './Reachability.js';
 import { ValueWatch } from './ValueWatch.js';
 
 /** Options of the reader. */
@@ -16,6 +17,8 @@
   readonly publish: (message: node.NodeMessage) => void;
   readonly counters: Counters;
   readonly log: Log;
+  /** Monotonic milliseconds. */
+  readonly now: () => number;
 }
 
 const BUNDLE_PATH = '/configuration/bundle';
@@ -57,16 +60,27 @@
 
   #listedVms = 0;
 
+  /** Each of the two paths may fail alone. */
+  readonly #reachability: Readonly<Record<string, Reachability>>;
+
+  /** Index of the newest value of each path that was read. */
+  readonly #indices = new Map<string, number>();
+
   /** @param options - Address of the platform and where values go. */
   constructor(options: PlatformReaderOptions) {
     this.#options = options;
     this.#client = new PlatformClient(options.address);
+    this.#reachability = {
+      [BUNDLE_PATH]: new Reachability(options.now),
+      [VMS_PATH]: new Reachability(options.now),
+    };
     const common = { client: this.#client, waitMs: options.waitMs };
     this.#bundle = new ValueWatch({
       ...common,
       path: BUNDLE_PATH,
       computeSpreadMs: () => BUNDLE_SPREAD_MS,
-      onValue: (envelope) => options.publish({ kind: 'envelopeRead', envelope }),
+      onValue: (envelope, index) => this.#acceptBundle(envelope, index),
+      onSame: () => this.#recordAnswer('configuration', BUNDLE_PATH),
       onFailure: (error) => this.#reportBundle(error),
     });
     this.#vms = new ValueWatch({
@@ -74,8 +88,11 @@
       path: VMS_PATH,
       computeSpreadMs: () =>
         Math.max(SHORTEST_VMS_SPREAD_MS, this.#listedVms * VMS_SPREAD_PER_VM_MS),
-      onValue: (text) => this.#acceptList(text),
-      onSame: () => options.publish({ kind: 'listConfirmed' }),
+      onValue: (text, index) => this.#acceptList(text, index),
+      onSame: () => {
+        this.#recordAnswer('membership', VMS_PATH);
+        options.publish({ kind: 'listConfirmed' });
+      },
       onFailure: (error) => this.#report('membership', error),
     });
   }
@@ -96,7 +113,7 @@
       if (result.isErr) {
         this.#reportBundle(result.error);
       } else {
-        this.#options.publish({ kind: 'envelopeRead', envelope: result.value.text });
+        this.#acceptBundle(result.value.text, result.value.index);
       }
     });
   }
@@ -125,12 +142,20 @@
     await this.#client[Symbol.asyncDispose]();
   }
 
-  #acceptList(text: string): void {
+  #acceptBundle(envelope: string, index: number): void {
+    this.#recordAnswer('configuration', BUNDLE_PATH);
+    this.#indices.set(BUNDLE_PATH, index);
+    this.#options.publish({ kind: 'envelopeRead', envelope });
+  }
+
+  #acceptList(text: string, index: number): void {
     const vms = parseVmList(text);
     if (vms === undefined) {
       this.#report('membership', new PlatformError(VMS_PATH, 'malformed'));
       return;
     }
+    this.#recordAnswer('membership', VMS_PATH);
+    this.#indices.set(VMS_PATH, index);
     this.#listedVms = vms.length;
     this.#options.publish({ kind: 'vmsListed', vms });
   }
@@ -142,9 +167,25 @@
 
   #report(part: string, error: PlatformError): void {
     this.#options.counters.count(`platform_${error.fault}`);
-    const fields = { path: error.path, fault: error.fault, status: error.status ?? 0 };
+    const { path, fault, status = 0 } = error;
+    const outage = this.#reachability[path].recordFailure();
+    const fields = { path, fault, status, ...outage, ...this.#describeKnown(path) };
     this.#options.log.write('warn', part, 'platform read failed', fields);
   }
+
+  #recordAnswer(part: string, path: string): void {
+    const outage = this.#reachability[path].recordAnswer();
+    if (outage !== undefined) {
+      const fields = { path, ...outage, ...this.#describeKnown(path) };
+      this.#options.log.write('info', part, 'platform answers again', fields);
+    }
+  }
+
+  /** Describes the newest value that was read before. */
+  #describeKnown(path: string): { readonly index?: number } {
+    const index = this.#indices.get(path);
+    return index === undefined ? {} : { index };
+  }
 }
 
 function parseVmList(text: string): readonly membership.VmRecord[] | undefined {
--- a/packages/node/src/process/platform/ValueWatch.ts
+++ b/packages/node/src/process/platform/ValueWatch.ts
@@ -10,9 +10,9 @@
   readonly waitMs: number;
   /** Computes the longest random pause after a new value, in milliseconds; spreads the reads of a large fleet. */
   readonly computeSpreadMs: () => number;
-  readonly onValue: (text: string) => void;
+  readonly onValue: (text: string, index: number) => void;
   /** A read told that the value is still the same. */
-  readonly onSame?: () => void;
+  readonly onSame: () => void;
   readonly onFailure: (error: PlatformError) => void;
 }
 
@@ -84,11 +84,11 @@
       return false;
     }
     if (result.value === undefined) {
-      this.#options.onSame?.();
+      this.#options.onSame();
       return false;
     }
     this.#index = result.value.index;
-    this.#options.onValue(result.value.text);
+    this.#options.onValue(result.value.text, result.value.index);
     return true;
   }
 
