--- a/packages/node/test/connection/PeerLinks.test.ts
+++ b/packages/node/test/connection/PeerLinks.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai';
 import { buildFrame, PeerLinks } from '../../src/connection/index.js';
 import { BodyStore } from '../../src/process/bodies/index.js';
+import type { LogFields } from '../../src/process/log/index.js';
 import { Counters } from '../../src/process/metrics/index.js';
 import { MemoryStream } from '../support/MemoryStream.js';
 
@@ -15,10 +16,14 @@
   let messages: node.NodeMessage[];
   let counters: Counters;
   let opened: [address: string, peerEnd: MemoryStream][];
+  let skipMs: number;
+  let lines: [text: string, fields: LogFields][];
 
   beforeEach(() => {
     messages = [];
     opened = [];
+    skipMs = 0;
+    lines = [];
     counters = new Counters();
     links = new PeerLinks({
       buildHello: () => buildFrame({ case: 'hello', value: { vm: 'self', incarnation: FIRST } }),
@@ -31,8 +36,12 @@
       store: new BodyStore(1024),
       maxBody: 1024,
       counters,
-      log: { write: () => undefined },
-      now: () => performance.now(),
+      log: {
+        write: (_level, _part, text, fields) => {
+          lines.push([text, typeof fields === 'function' ? fields() : (fields ?? {})]);
+        },
+      },
+      now: () => performance.now() + skipMs,
     });
   });
 
@@ -96,6 +105,55 @@
     expect(opened.map(([address]) => address)).to.deep.equal(['10.0.0.1:1', '10.0.0.2:1']);
   });
 
+  it('guards against a dead peer that looks like one heard of a moment ago', async () => {
+    listAddress('10.0.0.1:1');
+    expect(links.measureLinkAge('peer')).to.equal(undefined);
+    links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
+    expect(links.measureLinkAge('peer')).to.equal(undefined);
+    sendHello(opened[0][1], FIRST);
+    await settle();
+    skipMs += 1_000;
+    expect(links.measureLinkAge('peer')).to.be.within(1_000, 1_500);
+    opened[0][1].abort();
+    await settle();
+    skipMs += 2_000;
+    links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
+    expect(links.measureLinkAge('peer')).to.be.within(3_000, 3_500);
+    sendHello(opened[1][1], SECOND);
+    await settle();
+    expect(links.measureLinkAge('peer')).to.be.within(0, 500);
+  });
+
+  it('guards against a lost link whose lines tell neither how long it is away nor who was there', async () => {
+    listAddress('10.0.0.1:1');
+    links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
+    sendHello(opened[0][1], FIRST);
+    await settle();
+    skipMs += 1_000;
+    opened[0][1].abort();
+    await settle();
+    skipMs += 2_000;
+    links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
+    opened[1][1].abort();
+    await settle();
+    skipMs += 2_000;
+    links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
+    sendHello(opened[2][1], SECOND);
+    await settle();
+    expect(lines.map(([text]) => text)).to.deep.equal([
+      'peer link is down',
+      'peer link could not be opened',
+      'peer link is up again',
+    ]);
+    const [down, unopened, up] = lines.map(([, fields]) => fields);
+    expect(down).to.include({ peer: 'peer', inbound: false, incarnation: FIRST });
+    expect(down.linkAgeMs).to.be.within(1_000, 1_500);
+    expect(unopened).to.include({ peer: 'peer', formerIncarnation: FIRST });
+    expect(unopened.awayMs).to.be.within(2_000, 2_500);
+    expect(up).to.include({ incarnation: SECOND, formerIncarnation: FIRST, inbound: false });
+    expect(up.awayMs).to.be.within(4_000, 4_900);
+  });
+
   it('guards against another VM that answers at the address of a peer', async () => {
     listAddress('10.0.0.1:1');
     links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
