Test that an entry with the title of a hook covers a test alone

A listed test that bears the hook's title shows the difference; without the check the new case fails.

--- a/scripts/test/SummaryReporter.test.ts
+++ b/scripts/test/SummaryReporter.test.ts
@@ -155,6 +155,9 @@
     const listed = await run([hook, PASSING], renderEntry(title));
     expect([listed.code, listed.last]).to.deep.equal([2, '0 passed, 2 failed']);
     expect(listed.lines.join('\n')).to.include(title);
+    const twin = `it('"before each" hook: hook for "passes"', () => { throw new Error(); });`;
+    const shared = await run([hook, PASSING, twin], renderEntry(title));
+    expect([shared.code, shared.last]).to.deep.equal([2, '0 passed, 2 failed']);
     const beside = await run([hook, BROKEN], renderEntry('Fixture is broken'));
     expect([beside.code, beside.last]).to.deep.equal([2, '0 passed, 2 failed']);
     const after = hook.replace('beforeEach', 'afterEach');
