Read header lists by loops and indexes

A header list is walked about twenty times on the way of a call, and each handler took the pair apart by array destructuring, which runs an iterator until the function is compiled by the optimizing compiler; at 200 calls/s that takes most of the life of a process. The lists are read by index now, and connection headers are removed in one pass.

--- a/packages/core/src/process/node/Outbox.ts
+++ b/packages/core/src/process/node/Outbox.ts
@@ -80,7 +80,7 @@
 
   /** Takes the commands for the host. */
   takeCommands(): readonly NodeCommand[] {
-    const commands = [...this.#commands, ...this.#releases];
+    const commands = this.#commands.concat(this.#releases);
     this.#commands = [];
     this.#releases = [];
     return commands;
--- a/packages/core/src/request/calls/EntryCalls.ts
+++ b/packages/core/src/request/calls/EntryCalls.ts
@@ -281,7 +281,7 @@
 
   /** An earlier send of the same ticket may have run, so that nothing refused here is "not run". */
   #refuseRequest(request: ArrivedRequest, refusal: Refusal): void {
-    const hasTicket = request.headers.some(([name]) => name === 'tanagerpond-ticket');
+    const hasTicket = request.headers.some((header) => header[0] === 'tanagerpond-ticket');
     this.#parts.closer.refuseRequest(
       request.requestId,
       hasTicket && refusal.outcome === 'notRun' ? { ...refusal, outcome: 'unknown' } : refusal,
--- a/packages/core/src/request/calls/admitCaller.ts
+++ b/packages/core/src/request/calls/admitCaller.ts
@@ -61,7 +61,7 @@
         readTicket(request, route).map((once) => ({
           route,
           target,
-          headers: [...forwarded, ...added],
+          headers: forwarded.concat(added),
           remainingMs: Math.min(remainingMs, route.timeoutMs ?? remainingMs),
           ...caller,
           ...(once === undefined ? {} : { once }),
--- a/packages/core/src/request/identity/findExposedKey.ts
+++ b/packages/core/src/request/identity/findExposedKey.ts
@@ -20,7 +20,7 @@
   if (request.bodyHasKey) {
     return 'body';
   }
-  const header = forwarded.find(([name, value]) => hasKey(name) || hasKey(value));
+  const header = forwarded.find((pair) => hasKey(pair[0]) || hasKey(pair[1]));
   return header === undefined ? undefined : `header ${describeHeaderName(header[0])}`;
 }
 
--- a/packages/core/src/request/identity/readHeader.ts
+++ b/packages/core/src/request/identity/readHeader.ts
@@ -12,10 +12,14 @@
  * @param name - Lower-case name.
  */
 export function readHeader(headers: readonly HeaderPair[], name: string): SingleHeader {
-  const first = headers.findIndex(([headerName]) => headerName === name);
-  if (first === -1) {
-    return { kind: 'absent' };
+  let value: string | undefined;
+  for (let index = 0; index < headers.length; index++) {
+    if (headers[index][0] === name) {
+      if (value !== undefined) {
+        return { kind: 'repeated' };
+      }
+      value = headers[index].at(1);
+    }
   }
-  const last = headers.findLastIndex(([headerName]) => headerName === name);
-  return first === last ? { kind: 'present', value: headers[first][1] } : { kind: 'repeated' };
+  return value === undefined ? { kind: 'absent' } : { kind: 'present', value };
 }
--- a/packages/core/src/request/identity/removeConnectionHeaders.ts
+++ b/packages/core/src/request/identity/removeConnectionHeaders.ts
@@ -20,18 +20,28 @@
  * @param headers - Headers with lower-case names.
  */
 export function removeConnectionHeaders(headers: readonly HeaderPair[]): readonly HeaderPair[] {
-  const options = headers.filter(([name]) => name === 'connection');
-  const kept = headers.filter(([name]) => !CONNECTION_HEADERS.has(name));
+  const kept: HeaderPair[] = [];
+  const options: string[] = [];
+  // Runs several times a call. A loop and indexes cost a fraction of filters that destructure until they are compiled.
+  for (let index = 0; index < headers.length; index++) {
+    const header = headers[index];
+    if (!CONNECTION_HEADERS.has(header[0])) {
+      kept.push(header);
+    } else if (header[0] === 'connection') {
+      options.push(header[1]);
+    }
+  }
   return options.length === 0 ? kept : removeNamed(kept, options);
 }
 
 /** Removes the headers that a `connection` header names. */
 function removeNamed(
   headers: readonly HeaderPair[],
-  options: readonly HeaderPair[],
+  options: readonly string[],
 ): readonly HeaderPair[] {
   const named = options
-    .flatMap(([, value]) => value.split(','))
-    .map((option) => option.trim().toLowerCase());
-  return headers.filter(([name]) => !named.includes(name));
+    .flatMap((option) => option.split(','))
+    .map((option) => option.trim().toLowerCase())
+    .filter((option) => !CONNECTION_HEADERS.has(option));
+  return named.length === 0 ? headers : headers.filter((header) => !named.includes(header[0]));
 }
--- a/packages/core/src/request/identity/selectForwardedHeaders.ts
+++ b/packages/core/src/request/identity/selectForwardedHeaders.ts
@@ -13,6 +13,6 @@
  */
 export function selectForwardedHeaders(headers: readonly HeaderPair[]): readonly HeaderPair[] {
   return removeConnectionHeaders(headers).filter(
-    ([name]) => !DROPPED_HEADERS.has(name) && !name.startsWith(OWN_PREFIX),
+    (header) => !DROPPED_HEADERS.has(header[0]) && !header[0].startsWith(OWN_PREFIX),
   );
 }
--- a/packages/node/src/process/backend/BackendExchange.ts
+++ b/packages/node/src/process/backend/BackendExchange.ts
@@ -81,10 +81,11 @@
       return;
     }
     this.#framed = raw.some(
-      ([name, value]) =>
-        name === 'content-length' || (name === 'transfer-encoding' && /chunked/i.test(value)),
+      (header) =>
+        header[0] === 'content-length' ||
+        (header[0] === 'transfer-encoding' && /chunked/i.test(header[1])),
     );
-    const declared = Number(raw.find(([name]) => name === 'content-length')?.[1] ?? 0);
+    const declared = Number(raw.find((header) => header[0] === 'content-length')?.[1] ?? 0);
     const expected = this.#options.method === 'HEAD' ? 0 : declared;
     if (expected > this.#options.maxAnswer) {
       this.#refuseAnswer();
--- a/packages/node/src/process/backend/BackendPool.ts
+++ b/packages/node/src/process/backend/BackendPool.ts
@@ -55,7 +55,9 @@
     const { callId, method, target, timeoutMs, maxAnswer } = call;
     const { store, counters, publish, dialect } = this.#options;
     const headers = dialect.writeRequest(
-      identity.removeConnectionHeaders(call.headers).filter(([name]) => !REMOVED_HEADERS.has(name)),
+      identity
+        .removeConnectionHeaders(call.headers)
+        .filter((header) => !REMOVED_HEADERS.has(header[0])),
     );
     const exchange: BackendExchange = new BackendExchange({
       callId,
--- a/packages/wire/src/createHeaders.ts
+++ b/packages/wire/src/createHeaders.ts
@@ -5,9 +5,9 @@
  * @param pairs - Names and values.
  */
 export function createHeaders(pairs: readonly (readonly [string, string])[]): Header[] {
-  return pairs.map(([name, value]) => ({
+  return pairs.map((pair) => ({
     $typeName: 'tanagerpond.link.v1.Header',
-    name,
-    value,
+    name: pair[0],
+    value: pair[1],
   }));
 }
