--- a/packages/node/src/process/backend/BackendExchange.ts
+++ b/packages/node/src/process/backend/BackendExchange.ts
@@ -82,7 +82,7 @@
       return;
     }
     this.#framing = readFraming(this.#options.method, status, raw);
-    const declared = Number(raw.find(([name]) => name === 'content-length')?.[1] ?? 0);
+    const declared = Number(raw.find((header) => header[0] === 'content-length')?.[1] ?? 0);
     const expected = this.#options.method === 'HEAD' ? 0 : declared;
     if (expected > this.#options.maxAnswer) {
       this.#refuseAnswer();
--- a/packages/node/src/process/backend/readFraming.ts
+++ b/packages/node/src/process/backend/readFraming.ts
@@ -20,9 +20,9 @@
   if (method === 'HEAD' || BODILESS_STATUSES.has(status)) {
     return 'bodiless';
   }
-  const coding = headers.findLast(([name]) => name === 'transfer-encoding');
+  const coding = headers.findLast((header) => header[0] === 'transfer-encoding');
   if (coding !== undefined) {
     return LAST_CHUNKED.test(coding[1]) ? 'chunked' : 'close';
   }
-  return headers.some(([name]) => name === 'content-length') ? 'length' : 'close';
+  return headers.some((header) => header[0] === 'content-length') ? 'length' : 'close';
 }
