Limit what an answer may bring besides its body, and close connections on which bytes come without a request

Backend servers in trouble may send bytes that are no answer without end, in a head or a body. The parser of the library has no limit for a reason phrase, informational answers, empty lines before the status line, chunk extensions and leading zeros of a chunk size: it read on at full speed until the deadline of the call, for a request that runs at most once until 5 s later. Empty lines on an idle connection were read until the idle limit of 4 s. maxHeaderSize was the default of the library.

Every HTTP client of the node now has a meter on each connection. It counts received bytes that are neither body nor allowed framing (8 bytes for each byte of a body up to 1 MiB of framing, then as many as the body has) and ends the exchange as broken beyond 32 KiB. Bytes that come while no request is in progress close the connection before the parser sees them. The meter learns which exchange uses a connection from the diagnostics channels of the library. maxHeaderSize is set to the same 32 KiB.

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -8,6 +8,7 @@
 export type { PlainAnswer } from './request/index.js';
 export { createLogger } from './process/log/index.js';
 export type { Log } from './process/log/index.js';
+export { ANSWER_HEAD_BYTES, limitAnswers } from './process/http/index.js';
 export type { Counters } from './process/metrics/index.js';
 export { formatAddress, parseSettings, SettingsError } from './process/settings/index.js';
 export type { Settings } from './process/settings/index.js';
--- a/packages/node/src/process/backend/HealthPoller.ts
+++ b/packages/node/src/process/backend/HealthPoller.ts
@@ -1,6 +1,8 @@
 import type { node } from '@tanagerpond/core';
 import { Client } from 'undici';
 import type { BackendDialect, BackendHealthState } from '../../ports/index.js';
+import { ANSWER_HEAD_BYTES } from '../http/index.js';
+import { createConnector } from './createConnector.js';
 
 /** Options of the poller. */
 export interface HealthPollerOptions {
@@ -38,7 +40,8 @@
   constructor(options: HealthPollerOptions) {
     this.#options = options;
     this.#client = new Client(`http://${options.address}`, {
-      connect: { timeout: ANSWER_LIMIT_MS },
+      connect: createConnector(ANSWER_LIMIT_MS),
+      maxHeaderSize: ANSWER_HEAD_BYTES,
       maxResponseSize: ANSWER_BYTES,
     });
   }
--- a/packages/node/src/process/backend/createConnector.ts
+++ b/packages/node/src/process/backend/createConnector.ts
@@ -1,4 +1,5 @@
 import { buildConnector } from 'undici';
+import { limitAnswers } from '../http/index.js';
 
 /** Code of an error that the library does not take for the end of an answer. */
 const BROKEN_CODE = 'ECONNABORTED';
@@ -9,7 +10,7 @@
  * @param connectLimitMs - Time limit of a new connection, in milliseconds.
  */
 export function createConnector(connectLimitMs: number): buildConnector.connector {
-  const connect = buildConnector({ timeout: connectLimitMs });
+  const connect = limitAnswers(buildConnector({ timeout: connectLimitMs }));
   return (options, callback) => {
     connect(options, (...result) => {
       const [, socket] = result;
--- a/packages/node/src/process/platform/PlatformClient.ts
+++ b/packages/node/src/process/platform/PlatformClient.ts
@@ -1,5 +1,6 @@
 import { Result } from 'true-myth';
-import { Pool } from 'undici';
+import { buildConnector, Pool } from 'undici';
+import { ANSWER_HEAD_BYTES, limitAnswers } from '../http/index.js';
 import { PlatformError } from './PlatformError.js';
 
 /** A value of the platform. */
@@ -28,7 +29,8 @@
     this.#pool = new Pool(`http://${address}`, {
       connections: 3,
       pipelining: 1,
-      connect: { timeout: CONNECT_LIMIT_MS },
+      connect: limitAnswers(buildConnector({ timeout: CONNECT_LIMIT_MS })),
+      maxHeaderSize: ANSWER_HEAD_BYTES,
       maxResponseSize: ANSWER_BYTES,
       headersTimeout: 0,
       bodyTimeout: ANSWER_LIMIT_MS,
