--- a/packages/node/src/request/readBody.ts
+++ b/packages/node/src/request/readBody.ts
@@ -1,5 +1,6 @@
 import { createHash, type Hash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
+import { BodyBuffer } from '../process/bodies/index.js';
 import type { BodyStore, Reservation } from '../process/bodies/index.js';
 
 /** Result of reading a request body. */
@@ -51,9 +52,8 @@
   maxBody: number,
   reservation: Reservation,
 ): Promise<ReadBodyResult> {
-  const chunks: Buffer[] = [];
+  const body = new BodyBuffer();
   let hash: Hash | undefined;
-  let size = 0;
   return new Promise((resolve) => {
     incoming.on('data', take);
     incoming.once('end', () => finish(incoming.complete ? join() : { kind: 'gone' }));
@@ -61,14 +61,14 @@
     incoming.once('close', () => finish({ kind: 'gone' }));
 
     function take(chunk: Buffer): void {
-      size += chunk.length;
+      const size = body.size + chunk.length;
       if (size > maxBody) {
         finish({ kind: 'tooLarge' });
       } else if (size > reservation.size && !reservation.tryGrow(size - reservation.size)) {
         finish({ kind: 'buffersFull' });
       } else {
         hash = (hash ?? createHash('sha256')).update(chunk);
-        chunks.push(chunk);
+        body.append(chunk);
       }
     }
 
@@ -80,6 +80,6 @@
 
   function join(): ReadBodyResult {
     const digest = hash?.digest('hex') ?? '';
-    return { kind: 'complete', bytes: Buffer.concat(chunks, size), digest, reservation };
+    return { kind: 'complete', bytes: body.toBuffer(), digest, reservation };
   }
 }
