--- a/packages/node/src/connection/LinkStream.ts
+++ b/packages/node/src/connection/LinkStream.ts
@@ -96,6 +96,7 @@
       process.nextTick(() => this.#flush());
     }
     const bytes = encodeFrame(frame);
+    this.#options.counters.count(`link_sent_${frame.body.case}`);
     this.#written.push(bytes);
     this.#writtenBytes += bytes.length;
     if (done !== undefined) {
@@ -184,6 +185,7 @@
       this.#options.counters.count('link_frame_unknown');
       return;
     }
+    this.#options.counters.count(`link_received_${frame.body.case}`);
     if (frame.body.case === 'ping') {
       const { sequence } = frame.body.value;
       this.write(buildFrame({ case: 'pong', value: { sequence } }));
