--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -33,7 +33,7 @@
       'import-x/no-extraneous-dependencies': [
         'error',
         {
-          devDependencies: ['**/test/**', 'eslint.config.mjs', 'scripts/**', 'platform/build.mjs'],
+          devDependencies: ['**/test/**', 'eslint.config.mjs', 'scripts/**', 'platform/build/**'],
           packageDir: ['.'],
         },
       ],
