Keep the body of an answer that waits for a proved one where the entry node ran it

Callers got a 502 in place of a 200 of unknown length, where the node at which the request began runs the backend server too and the retry brought no other answer. The run releases its body in the same turn, and the kept answer named that body.

The kept answer now has a name of its own for the body. Ruled out: the answer of another node, whose body the entry node holds under the attempt's id.

Before: the new test failed (a body that is not kept); after: it passes.

--- a/packages/core/src/request/calls/EntryAttempts.ts
+++ b/packages/core/src/request/calls/EntryAttempts.ts
@@ -237,12 +237,23 @@
     if (!this.#takeRetry(call, nowMs) || this.#sender.send(call, nowMs) !== undefined) {
       return false;
     }
-    call.fallback = { answer, receivedMs: nowMs };
+    call.fallback = { answer, bodyOf: this.#keepFallbackBody(call, answer), receivedMs: nowMs };
     call.mayHaveRun = true;
     this.#services.counters.count('retriesForProof');
     return true;
   }
 
+  #keepFallbackBody(call: EntryCall, { callId, bodySize }: Answer): string {
+    if (bodySize === 0) {
+      return '';
+    }
+    const { outbox } = this.#services;
+    const bodyOf = `fallback ${call.requestId}`;
+    outbox.add({ kind: 'keepBody', from: callId, to: bodyOf });
+    outbox.add({ kind: 'releaseBody', bodyOf: callId });
+    return bodyOf;
+  }
+
   #takeRetry(call: EntryCall, nowMs: number): boolean {
     return (
       call.allowance.remaining > 0 &&
--- a/packages/core/src/request/calls/EntryCall.ts
+++ b/packages/core/src/request/calls/EntryCall.ts
@@ -28,6 +28,14 @@
   readonly sentMs: number;
 }
 
+/** An answer that is kept while a further attempt is under way. */
+export interface FallbackAnswer {
+  readonly answer: Answer;
+  /** Name of its body. Not the attempt's id: where this node ran the attempt, that name is released with the run. */
+  readonly bodyOf: string;
+  readonly receivedMs: number;
+}
+
 /** A call that this node started, for a caller or for its own backend server. Lives as long as the request. */
 export interface EntryCall {
   readonly requestId: string;
@@ -59,5 +67,5 @@
   /** This node refuses the call and asks the ticket's VM for proof that it did not run. */
   pendingRefusal?: Refusal;
   /** Answer without a proved end, which the requester gets unless a further attempt brings another one. */
-  fallback?: { readonly answer: Answer; readonly receivedMs: number };
+  fallback?: FallbackAnswer;
 }
--- a/packages/core/src/request/calls/EntryCloser.ts
+++ b/packages/core/src/request/calls/EntryCloser.ts
@@ -32,10 +32,11 @@
   /**
    * Answers the requester with a whole answer.
    * @param call - Call that was answered.
-   * @param answer - Frame of the answer; its body is kept under the attempt's id.
+   * @param answer - Frame of the answer.
    * @param nowMs - Monotonic time, in milliseconds.
+   * @param bodyOf - Name of its body; by default the attempt's id.
    */
-  answer(call: EntryCall, answer: Answer, nowMs: number): void {
+  answer(call: EntryCall, answer: Answer, nowMs: number, bodyOf = answer.callId): void {
     const { outbox, counters } = this.#services;
     counters.count('answered');
     outbox.add(createAnswerLog(call, answer, nowMs));
@@ -48,7 +49,7 @@
         ['tanagerpond-outcome', 'complete'],
         ['tanagerpond-root', call.context.rootId],
       ],
-      bodyOf: answer.bodySize > 0 ? answer.callId : '',
+      bodyOf: answer.bodySize > 0 ? bodyOf : '',
       closeDelimited: answer.closeDelimited,
     });
     outbox.add({ kind: 'releaseBody', bodyOf: answer.callId });
@@ -64,7 +65,8 @@
    */
   refuse(call: EntryCall, refusal: Refusal, headers: readonly HeaderPair[] = []): void {
     if (call.fallback !== undefined) {
-      this.answer(call, call.fallback.answer, call.fallback.receivedMs);
+      const { answer, receivedMs, bodyOf } = call.fallback;
+      this.answer(call, answer, receivedMs, bodyOf);
       return;
     }
     const isDoubtful = call.mayHaveRun && refusal.outcome === 'notRun';
@@ -154,7 +156,7 @@
     this.#services.shares.cancel(call.requestId);
     this.#services.outbox.add({ kind: 'releaseBody', bodyOf: call.requestId });
     if (call.fallback !== undefined) {
-      this.#services.outbox.add({ kind: 'releaseBody', bodyOf: call.fallback.answer.callId });
+      this.#services.outbox.add({ kind: 'releaseBody', bodyOf: call.fallback.bodyOf });
     }
     const parent = this.#findParent(call);
     if (parent === undefined) {
--- a/packages/core/test/process/node/closeDelimitedAnswers.test.ts
+++ b/packages/core/test/process/node/closeDelimitedAnswers.test.ts
@@ -19,14 +19,19 @@
     fleet.events.runUntil(START_MS);
   });
 
-  function send(method: string, target: string, ticket?: string): RequestEnd | undefined {
+  function send(
+    method: string,
+    target: string,
+    ticket?: string,
+    entry = 'deep-1',
+  ): RequestEnd | undefined {
     const ends: RequestEnd[] = [];
     const headers: (readonly [string, string])[] = [
       ['authorization', `Bearer ${ALBA_KEY}`],
       ['x-request-id', target],
       ...(ticket === undefined ? [] : [['tanagerpond-ticket', ticket] as const]),
     ];
-    fleet.request('deep-1', target, method, headers, (end) => ends.push(end));
+    fleet.request(entry, target, method, headers, (end) => ends.push(end));
     fleet.events.runUntil(fleet.events.nowMs + CALL_MS);
     return ends[0];
   }
@@ -67,6 +72,19 @@
     expect(listKeptBodies()).to.deep.equal([0, 0, 0, 0]);
   });
 
+  it('guards against a kept answer without its body where the node next to the backend server is the entry', () => {
+    setFraming(['front-1', 'front-2']);
+    const ends = ['front-1', 'front-2'].flatMap((entry) =>
+      ['a', 'b', 'c'].map((id) => send('GET', `/front/read/${id}`, undefined, entry)),
+    );
+    fleet.find('front-2').backend.crash();
+    ends.push(...['d', 'e'].map((id) => send('GET', `/front/read/${id}`, undefined, 'front-1')));
+    expect(fleet.listNodes().flatMap(({ faults }) => faults)).to.deep.equal([]);
+    ends.forEach((end) => expect(end).to.include({ kind: 'answered', closeDelimited: true }));
+    expect(ends.map((end) => (end?.kind === 'answered' ? end.body : ''))).to.not.include('');
+    expect(listKeptBodies()).to.deep.equal([0, 0, 0, 0]);
+  });
+
   it('guards against a second run, and a stored answer that gets a length, where a call runs at most once', () => {
     setFraming(['front-1', 'front-2']);
     const refused = send('POST', '/front/book/a');
