Reject a value of the platform that has no length

A node kept an old bundle until the next version, where the configuration service gave the newest one with its index, without a length, and ended the connection after a part: the watch took the index for known and asked only for newer values.

Such a value is now a failed read (lengthMissing), which is read again. Ruled out: the VM list, whose index stands in the text, and the calls to the store, a JSON object that cannot be parsed when it is cut.

Before: the new test failed (waited in vain for the whole bundle); after: it passes.

--- a/packages/node/src/process/backend/index.ts
+++ b/packages/node/src/process/backend/index.ts
@@ -1,2 +1,3 @@
 export { BackendPool } from './BackendPool.js';
 export { HealthPoller } from './HealthPoller.js';
+export { readFraming } from './readFraming.js';
--- a/packages/node/src/process/platform/PlatformClient.ts
+++ b/packages/node/src/process/platform/PlatformClient.ts
@@ -1,5 +1,7 @@
 import { Result } from 'true-myth';
 import { Pool } from 'undici';
+import type { IncomingHttpHeaders } from 'undici/types/header.js';
+import { readFraming } from '../backend/index.js';
 import { PlatformError } from './PlatformError.js';
 
 /** A value of the platform. */
@@ -80,6 +82,9 @@
       if (answer.statusCode !== 200) {
         return Result.err(new PlatformError(path, 'status', answer.statusCode));
       }
+      if (isCloseDelimited(answer.headers)) {
+        return Result.err(new PlatformError(path, 'lengthMissing'));
+      }
       const index = Number(answer.headers['platform-index'] ?? readIndex(text));
       return Number.isSafeInteger(index)
         ? Result.ok({ index, text })
@@ -90,6 +95,12 @@
   }
 }
 
+/** Such a value may be truncated; the watch would then wait for a newer one and never get the whole. */
+function isCloseDelimited(headers: IncomingHttpHeaders): boolean {
+  const pairs = Object.entries(headers).map(([name, value]) => [name, String(value)] as const);
+  return readFraming('GET', 200, pairs) === 'close';
+}
+
 /** The VM list carries its index in the value. */
 function readIndex(text: string): unknown {
   try {
--- a/packages/node/src/process/platform/PlatformError.ts
+++ b/packages/node/src/process/platform/PlatformError.ts
@@ -7,7 +7,7 @@
    */
   constructor(
     readonly path: string,
-    readonly fault: 'unreachable' | 'status' | 'indexMissing' | 'malformed',
+    readonly fault: 'unreachable' | 'status' | 'indexMissing' | 'lengthMissing' | 'malformed',
     readonly status?: number,
   ) {
     super(`platform read of ${path} failed: ${fault}${status === undefined ? '' : ` ${status}`}`);
--- a/packages/node/test/process/platform/PlatformReader.test.ts
+++ b/packages/node/test/process/platform/PlatformReader.test.ts
@@ -113,6 +113,23 @@
     expect(urls.length).to.equal(3);
   });
 
+  it('guards against a truncated bundle without a length that hides the whole one', async () => {
+    let isCut = true;
+    handle = (url, outgoing) => {
+      if (isCut) {
+        isCut = false;
+        outgoing.socket?.end('HTTP/1.1 200 OK\r\nplatform-index: 7\r\n\r\nbund');
+      } else if (url.includes('after=7')) {
+        outgoing.writeHead(304).end();
+      } else {
+        outgoing.setHeader('platform-index', 7).end('bundle 7');
+      }
+    };
+    reader.watchService(true);
+    await waitFor('the whole bundle', () => listEnvelopes().includes('bundle 7'));
+    expect(listEnvelopes()).to.deep.equal(['bundle 7']);
+  });
+
   it('guards against a malformed list that replaces a good one, and against noise in the log', async () => {
     const lists = [
       { index: 1, vms: [VM] },
