Let answers finish when a listener closes, and reset those that look whole when cut

A caller that read its answer slowly lost the rest of it when the node ended: the HTTP library takes a connection for idle once the whole answer is handed over, and closes it with the listener, not after the second that the listener gives. An answer without a length then ended in order after a part and looked whole.

The listener now waits up to a second for the answers that are being written, and resets those whose only end is the close.

Before: 3 of 3 new tests failed (3,919,872 of 33,554,432 bytes arrived); after: they pass.

--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
@@ -66,6 +67,9 @@
 
   readonly #pending = new Map<string, PendingRequest>();
 
+  /** Answers that are being written. */
+  readonly #writing = new Map<ServerResponse, PlainAnswer>();
+
   readonly #server: Server;
 
   #draining = false;
@@ -166,9 +170,33 @@
   }
 
   /** Stops listening; connections get a second to finish. */
-  [Symbol.asyncDispose](): Promise<void> {
-    const closeAll = (): void => this.#server.closeAllConnections();
-    return stopListening(this.#server, closeAll, CLOSE_LIMIT_MS);
+  async [Symbol.asyncDispose](): Promise<void> {
+    const startedMs = this.#options.now();
+    await this.#finishWriting();
+    // The library takes a connection for idle while an answer is still being written, and closes it at once.
+    this.#resetUnfinished();
+    const remainingMs = Math.max(0, CLOSE_LIMIT_MS - (this.#options.now() - startedMs));
+    await stopListening(this.#server, () => this.#closeAll(), remainingMs);
+  }
+
+  async #finishWriting(): Promise<void> {
+    const signal = AbortSignal.timeout(CLOSE_LIMIT_MS);
+    const outgoing = [...this.#writing.keys()];
+    await Promise.allSettled(outgoing.map((answer) => once(answer, 'close', { signal })));
+  }
+
+  #closeAll(): void {
+    this.#resetUnfinished();
+    this.#server.closeAllConnections();
+  }
+
+  /** An orderly close would make a part of a close-delimited answer look like the whole. */
+  #resetUnfinished(): void {
+    this.#writing.forEach(({ closeDelimited }, { socket }) => {
+      if (closeDelimited === true) {
+        socket?.resetAndDestroy();
+      }
+    });
   }
 
   async #handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
@@ -245,9 +273,12 @@
   }
 
   #send(requestId: string, pending: PendingRequest, answer: PlainAnswer): void {
+    const { outgoing } = pending;
     this.#pending.delete(requestId);
+    this.#writing.set(outgoing, answer);
+    outgoing.once('close', () => this.#writing.delete(outgoing));
     this.#options.latency.record(this.#options.now() - pending.arrivedMs);
-    writeAnswer(pending.outgoing, answer, this.#draining);
+    writeAnswer(outgoing, answer, this.#draining);
   }
 
   #refuseHost(outgoing: ServerResponse): void {
--- a/packages/node/test/request/RequestListener.test.ts
+++ b/packages/node/test/request/RequestListener.test.ts
@@ -1,5 +1,6 @@
 import { createHash, randomBytes } from 'node:crypto';
 import { connect } from 'node:net';
+import type { Socket } from 'node:net';
 import { Readable } from 'node:stream';
 import { request as coreRequest } from '@tanagerpond/core';
 import type { node } from '@tanagerpond/core';
@@ -13,6 +14,12 @@
 
 const MAX_BODY = 64 * 1024;
 
+/** Bytes of an answer that the buffers of a connection do not hold. */
+const ANSWER_BYTES = 32 * 1024 * 1024;
+
+/** Time after which the caller of such an answer reads on, in milliseconds. */
+const READ_AFTER_MS = 100;
+
 const KEY = `tpk_${'aB3_-'.repeat(8)}abc`;
 
 type Arrived = Extract<node.NodeMessage, { kind: 'callerRequest' | 'egressRequest' }>;
@@ -243,6 +250,59 @@
     expect(await answer.body.json()).to.include({ reason: 'backendFailed' });
   });
 
+  describe('that closes while an answer is being written', () => {
+    let socket: Socket;
+    let received: number;
+    let ended: boolean;
+    let closed: Promise<unknown>;
+
+    async function startAnswer(closeDelimited: boolean): Promise<void> {
+      const budget = new BodyStore(ANSWER_BYTES);
+      const reservation = budget.tryReserve(ANSWER_BYTES) ?? expect.fail();
+      budget.add('large', Buffer.alloc(ANSWER_BYTES, 'x'), reservation);
+      reply = ({ request: { requestId } }) => {
+        const body = budget.take('large') ?? expect.fail();
+        listener.answer(requestId, { status: 200, headers: [], closeDelimited }, body);
+      };
+      [received, ended] = [0, false];
+      socket = connect(port, '127.0.0.1');
+      socket.on('data', (bytes: Buffer) => {
+        received += bytes.length;
+      });
+      socket.on('end', () => {
+        // A reset that arrives with the last bytes is shown as an end, but leaves no peer.
+        ended = socket.remoteAddress !== undefined;
+      });
+      socket.pause();
+      socket.on('error', () => undefined);
+      closed = new Promise((resolve) => {
+        socket.once('close', resolve);
+      });
+      socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+      await waitFor('the request', () => arrived.length === 1);
+    }
+
+    it('guards against a part of an answer of unknown length that looks whole', async () => {
+      await startAnswer(true);
+      await listener[Symbol.asyncDispose]();
+      socket.resume();
+      await closed;
+      expect(received).to.be.below(ANSWER_BYTES);
+      expect(ended).to.equal(false);
+    });
+
+    [true, false].forEach((closeDelimited) => {
+      it(`guards against an answer that is cut though its caller reads on (closeDelimited ${closeDelimited})`, async () => {
+        await startAnswer(closeDelimited);
+        const disposed = listener[Symbol.asyncDispose]();
+        setTimeout(() => socket.resume(), READ_AFTER_MS);
+        await Promise.all([disposed, closed]);
+        expect(received).to.be.above(ANSWER_BYTES);
+        expect(ended).to.equal(true);
+      });
+    });
+  });
+
   it('guards against the call token of a backend server that travels on as a header', async () => {
     await listener[Symbol.asyncDispose]();
     await start('egress');
