Take an end of a connection to the backend server that was reset for the reset that it is

An answer without a length that was reset counted as ended in order, and its caller got a part of it as a success, where the reset arrived together with the last bytes: Node.js reads a part of its buffer, sees the connection closed in both directions and shows an end; the error is never read. A process that is busy sees most resets so.

A connection that was reset has no peer any more, which tells the two apart at the end.

--- a/packages/node/src/process/backend/createConnector.ts
+++ b/packages/node/src/process/backend/createConnector.ts
@@ -1,4 +1,5 @@
 import { buildConnector } from 'undici';
+import { revealResets } from './revealResets.js';
 
 /** Code of an error that the library does not take for the end of an answer. */
 const BROKEN_CODE = 'ECONNABORTED';
@@ -12,8 +13,11 @@
   const connect = buildConnector({ timeout: connectLimitMs });
   return (options, callback) => {
     connect(options, (...result) => {
-      const [, socket] = result;
-      socket?.on('error', markBroken);
+      const [error, socket] = result;
+      if (error === null) {
+        socket.on('error', markBroken);
+        revealResets(socket);
+      }
       callback(...result);
     });
   };
