Keep the refusal of malformed bytes from being read as the answer to the request before

A caller whose complete request was followed by malformed bytes, or by a head that did not come in time, got 400 with the outcome not-run in place of its answer, while the request ran. The refusal went out on the connection at once.

The answers that are due now go first, and the connection closes after the newest of them. A request whose own bytes are malformed gets 400 as before.

--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -67,6 +67,12 @@
 
   readonly #pending = new Map<string, PendingRequest>();
 
+  /** Answers that are not sent completely, from the head of their request on. */
+  readonly #unsent = new Set<ServerResponse>();
+
+  /** Answers to requests that malformed bytes follow; they close their connections. */
+  readonly #last = new WeakSet<ServerResponse>();
+
   /** Answers that are being written. */
   readonly #writing = new Map<ServerResponse, PlainAnswer>();
 
@@ -200,6 +206,8 @@
   }
 
   async #handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    this.#unsent.add(outgoing);
+    outgoing.once('close', () => this.#unsent.delete(outgoing));
     if (!HOST_PATTERN.test(incoming.headers.host ?? '')) {
       this.#refuseHost(outgoing);
       return;
@@ -278,7 +286,7 @@
     this.#writing.set(outgoing, answer);
     outgoing.once('close', () => this.#writing.delete(outgoing));
     this.#options.latency.record(this.#options.now() - pending.arrivedMs);
-    writeAnswer(outgoing, answer, this.#draining);
+    writeAnswer(outgoing, answer, this.#draining || this.#last.has(outgoing));
   }
 
   #refuseHost(outgoing: ServerResponse): void {
@@ -293,6 +301,9 @@
       socket.destroy();
       return;
     }
+    if (this.#closeAfterAnswer(socket)) {
+      return;
+    }
     const answer = this.#options.dialect.buildRefusal(
       request.createRefusal('requestMalformed', { detail: error.code }),
       [],
@@ -300,6 +311,16 @@
     socket.end(renderAnswer(answer));
     setTimeout(() => socket.destroy(), LINGER_MS).unref();
   }
+
+  /** Tells whether an earlier request of the connection is still to be answered, as whose answer a refusal would be read. */
+  #closeAfterAnswer(socket: Socket): boolean {
+    const newest = [...this.#unsent].findLast(({ req }) => req.complete && req.socket === socket);
+    if (newest === undefined) {
+      return false;
+    }
+    this.#last.add(newest);
+    return true;
+  }
 }
 
 /** Time after which a caller may come back when the buffers are full, in milliseconds; jittered. */
--- a/packages/node/test/request/RequestListener.test.ts
+++ b/packages/node/test/request/RequestListener.test.ts
@@ -17,6 +17,9 @@
 /** Bytes of an answer that the buffers of a connection do not hold. */
 const ANSWER_BYTES = 32 * 1024 * 1024;
 
+/** Time of a run of which the caller's next bytes are read, in milliseconds. */
+const ANSWER_AFTER_MS = 100;
+
 /** Time after which the caller of such an answer reads on, in milliseconds. */
 const READ_AFTER_MS = 100;
 
@@ -188,6 +191,17 @@
     expect(arrived).to.deep.equal([]);
   });
 
+  it('guards against the refusal of malformed bytes that is read as the answer to the request before', async () => {
+    const answerNow = reply;
+    reply = (message) => {
+      setTimeout(() => answerNow(message), ANSWER_AFTER_MS);
+    };
+    const text = 'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc';
+    const answer = await sendRaw(`${text}NOT HTTP\r\n\r\n`);
+    expect(answer).to.match(/^HTTP\/1.1 200 .*\r\nconnection: close\r\n.*\r\n\r\nabc$/is);
+    expect([arrived.length, gone.length]).to.deep.equal([1, 0]);
+  });
+
   it('guards against more connections than the settings allow', async () => {
     const sockets = Array.from({ length: 6 }, () => connect(port, '127.0.0.1'));
     let closed = 0;
