Give up pipelined requests when their connection closes

A request that waited behind the last answer of its connection ran on for nobody, and the listener kept its body for ever: the HTTP library reports the close of a connection only to the answer whose turn it is. Answers of unknown length close more connections, so this comes up more often with them.

Ruled out: requests that are not pipelined, which a test covers already.

Before: the new test failed (waited in vain for requesterGone); after: it passes.

--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -96,6 +96,9 @@
       },
     );
     this.#server.maxConnections = options.limits.connections;
+    this.#server.on('connection', (socket) =>
+      socket.once('close', () => this.#closeQueued(socket)),
+    );
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.#refuseMalformed(error, socket as Socket),
     );
@@ -312,6 +315,13 @@
     setTimeout(() => socket.destroy(), LINGER_MS).unref();
   }
 
+  /** The library closes only the answer whose turn it is, not those of pipelined requests behind it. */
+  #closeQueued(socket: Socket): void {
+    [...this.#unsent]
+      .filter((outgoing) => outgoing.socket === null && outgoing.req.socket === socket)
+      .forEach((outgoing) => outgoing.emit('close'));
+  }
+
   /** Tells whether an earlier request of the connection is still to be answered, as whose answer a refusal would be read. */
   #closeAfterAnswer(socket: Socket): boolean {
     const newest = [...this.#unsent].findLast(({ req }) => req.complete && req.socket === socket);
--- a/packages/node/test/request/RequestListener.test.ts
+++ b/packages/node/test/request/RequestListener.test.ts
@@ -202,6 +202,19 @@
     expect([arrived.length, gone.length]).to.deep.equal([1, 0]);
   });
 
+  it('guards against a pipelined request behind the last answer of its connection that is never given up', async () => {
+    listener.drain();
+    const answerNow = reply;
+    reply = (message) => {
+      setTimeout(() => answerNow(message), ANSWER_AFTER_MS * arrived.length);
+    };
+    const text = 'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc';
+    const answer = await sendRaw(`${text}${text}`);
+    expect(answer.match(/HTTP\/1.1 200/g)).to.have.length(1);
+    await waitFor('requesterGone', () => gone.length === 1);
+    expect([arrived.length, listener.pending]).to.deep.equal([2, 0]);
+  });
+
   it('guards against more connections than the settings allow', async () => {
     const sockets = Array.from({ length: 6 }, () => connect(port, '127.0.0.1'));
     let closed = 0;
