Let the bodies of answers reach their peers before the process ends

A node that was stopped cut the answers that it was sending to other nodes: a call counts as done with the frame of its answer, and the links were closed while the body was still on its way in chunks. The caller got 502, or a second run of a repeatable call.

The links now give these bodies up to a second. Ruled out: a part that is taken for the whole; the frame of the answer names the size.

Before: the new test failed (65,536 of 1,048,576 bytes arrived); after: it passes.

--- a/packages/node/src/connection/LinkCalls.ts
+++ b/packages/node/src/connection/LinkCalls.ts
@@ -72,6 +72,11 @@
     return this.#carried.size + this.#sender.count;
   }
 
+  /** Bodies that are not sent completely. */
+  get unsentBodies(): number {
+    return this.#sender.count;
+  }
+
   /**
    * Sends a frame and its body.
    * @param frame - Frame of the decisions.
--- a/packages/node/src/connection/PeerLink.ts
+++ b/packages/node/src/connection/PeerLink.ts
@@ -95,6 +95,11 @@
     return (this.#calls?.count ?? 0) + this.#queue.length;
   }
 
+  /** Bodies that are not sent completely. */
+  get unsentBodies(): number {
+    return this.#calls?.unsentBodies ?? 0;
+  }
+
   /**
    * Sends a frame, or queues it until the link is up.
    * @param frame - Frame of the decisions.
--- a/packages/node/src/connection/PeerLinks.ts
+++ b/packages/node/src/connection/PeerLinks.ts
@@ -1,3 +1,4 @@
+import { setTimeout as wait } from 'node:timers/promises';
 import type { node, membership } from '@tanagerpond/core';
 import type { Frame, Hello } from '@tanagerpond/wire';
 import type { BodyStore, HeldBody } from '../process/bodies/index.js';
@@ -40,6 +41,12 @@
 /** After a failed attempt, a peer is not tried again for this time, in milliseconds. */
 const RETRY_MS = 200;
 
+/** Time for the bodies of answers to be sent when the process ends, in milliseconds. */
+const CLOSE_LIMIT_MS = 1_000;
+
+/** Time between two checks for bodies that are not sent completely, in milliseconds. */
+const CLOSE_CHECK_MS = 10;
+
 /** Longest VM name in a `Hello`. */
 const NAME_LENGTH = 253;
 
@@ -151,13 +158,22 @@
     };
   }
 
-  /** Ends every link; written frames are sent first. */
-  [Symbol.asyncDispose](): Promise<void> {
+  /** Ends every link. Written frames are sent first, and the bodies of answers get a second to follow them. */
+  async [Symbol.asyncDispose](): Promise<void> {
     clearInterval(this.#timer);
+    await this.#finishAnswers();
     [...this.#outbound.values()].forEach((link) => link.close('stopped'));
     [...this.#inbound.values()].forEach(({ link }) => link.close('stopped'));
     [...this.#arriving].forEach((link) => link.close('stopped'));
-    return Promise.resolve();
+  }
+
+  async #finishAnswers(): Promise<void> {
+    const untilMs = this.#options.now() + CLOSE_LIMIT_MS;
+    const isSending = (): boolean =>
+      [...this.#inbound.values()].some(({ link }) => link.unsentBodies > 0);
+    while (isSending() && this.#options.now() < untilMs) {
+      await wait(CLOSE_CHECK_MS);
+    }
   }
 
   #open(peer: string): PeerLink | undefined {
--- a/packages/node/test/connection/PeerLinks.test.ts
+++ b/packages/node/test/connection/PeerLinks.test.ts
@@ -1,5 +1,5 @@
 import type { node } from '@tanagerpond/core';
-import { encodeFrame, joinFrames } from '@tanagerpond/wire';
+import { decodeBatch, encodeFrame, joinFrames, type Frame } from '@tanagerpond/wire';
 import { expect } from 'chai';
 import { buildFrame, PeerLinks } from '../../src/connection/index.js';
 import { BodyStore } from '../../src/process/bodies/index.js';
@@ -8,6 +8,9 @@
 
 const FIRST = '1'.repeat(32);
 
+/** Bytes of an answer that is larger than the window of a body. */
+const ANSWER_BYTES = 1024 * 1024;
+
 const SECOND = '2'.repeat(32);
 
 describe('the links of a process', () => {
@@ -56,6 +59,24 @@
     stream.write(joinFrames([encodeFrame(hello)]));
   }
 
+  /** Counts the body bytes that arrive at a peer, which grants as many again. */
+  function countBodyBytes(peerEnd: MemoryStream): () => number {
+    let received = 0;
+    const take = ({ body }: Frame): void => {
+      if (body.case === 'bodyChunk') {
+        const { callId, data } = body.value;
+        received += data.length;
+        const update = buildFrame({
+          case: 'windowUpdate',
+          value: { callId, bytes: data.length },
+        });
+        peerEnd.write(joinFrames([encodeFrame(update)]));
+      }
+    };
+    peerEnd.on('data', (bytes: Buffer) => decodeBatch(bytes).unwrapOr([]).forEach(take));
+    return () => received;
+  }
+
   async function settle(): Promise<void> {
     for (let turn = 0; turn < 6; turn++) {
       await new Promise((resolve) => {
@@ -116,6 +137,27 @@
     expect(opened.length).to.equal(1);
   });
 
+  it('guards against an answer that is cut on its way to a peer when the process ends', async () => {
+    const { other } = openInbound(FIRST);
+    const peerEnd = other ?? expect.fail();
+    const countBytes = countBodyBytes(peerEnd);
+    const openCall = buildFrame({ case: 'openCall', value: { callId: 'c' } });
+    peerEnd.write(joinFrames([encodeFrame(openCall)]));
+    await settle();
+    let released = 0;
+    const body = {
+      bytes: Buffer.alloc(ANSWER_BYTES),
+      release: () => {
+        released += 1;
+      },
+    };
+    const value = { callId: 'c', bodySize: ANSWER_BYTES };
+    links.sendReply('peer', buildFrame({ case: 'answer', value }), body);
+    await links[Symbol.asyncDispose]();
+    await settle();
+    expect([countBytes(), released]).to.deep.equal([ANSWER_BYTES, 1]);
+  });
+
   it('guards against a reply that opens a stream, or holds its body when there is none', () => {
     let released = 0;
     const body = {
