--- a/packages/core/test/process/node/BackendHealth.test.ts
+++ b/packages/core/test/process/node/BackendHealth.test.ts
@@ -34,7 +34,13 @@
 
   it('guards against a backend server that is lost or comes back without a line that says for how long', () => {
     expect(report('healthy', 1_000)).to.deep.equal([]);
-    const answer = { status: 200, headers: [], bodySize: 0, framing: 'length', shed: false } as const;
+    const answer = {
+      status: 200,
+      headers: [],
+      bodySize: 0,
+      framing: 'length',
+      shed: false,
+    } as const;
     const answered = { kind: 'answered', ...answer } as const;
     findLines(2_000, { kind: 'backendResult', callId: 'c1', result: answered });
     findLines(4_000, { kind: 'backendResult', callId: 'c2', result: { kind: 'broken' } });
