--- a/packages/core/src/request/calls/EntryCloser.ts
+++ b/packages/core/src/request/calls/EntryCloser.ts
@@ -4,6 +4,7 @@
 import type { NodeServices } from '../../process/node/NodeServices.js';
 import type { Refusal } from '../refusals.js';
 import { createAnswerLog } from './createAnswerLog.js';
+import { createBasis } from './createBasis.js';
 import { createEntryLog } from './createEntryLog.js';
 import type { EntryCall } from './EntryCall.js';
 import type { EntryTable } from './EntryTable.js';
@@ -32,13 +33,14 @@
   /**
    * Answers the requester with a whole answer.
    * @param call - Call that was answered.
-   * @param answer - Frame of the answer; its body is kept under the attempt's id.
+   * @param answer - Frame of the answer.
    * @param nowMs - Monotonic time, in milliseconds.
+   * @param bodyOf - Name of its body; by default the attempt's id.
    */
-  answer(call: EntryCall, answer: Answer, nowMs: number): void {
-    const { outbox, counters } = this.#services;
+  answer(call: EntryCall, answer: Answer, nowMs: number, bodyOf = answer.callId): void {
+    const { outbox, counters, self } = this.#services;
     counters.count('answered');
-    outbox.add(createAnswerLog(call, answer, nowMs));
+    outbox.add(createAnswerLog(call, answer, self.name, nowMs));
     outbox.add({
       kind: 'answerRequester',
       requestId: call.requestId,
@@ -48,7 +50,7 @@
         ['tanagerpond-outcome', 'complete'],
         ['tanagerpond-root', call.context.rootId],
       ],
-      bodyOf: answer.bodySize > 0 ? answer.callId : '',
+      bodyOf: answer.bodySize > 0 ? bodyOf : '',
       closeDelimited: answer.closeDelimited,
     });
     outbox.add({ kind: 'releaseBody', bodyOf: answer.callId });
@@ -64,7 +66,8 @@
    */
   refuse(call: EntryCall, refusal: Refusal, headers: readonly HeaderPair[] = []): void {
     if (call.fallback !== undefined) {
-      this.answer(call, call.fallback.answer, call.fallback.receivedMs);
+      const { answer, receivedMs, bodyOf } = call.fallback;
+      this.answer(call, answer, receivedMs, bodyOf);
       return;
     }
     const isDoubtful = call.mayHaveRun && refusal.outcome === 'notRun';
@@ -131,8 +134,8 @@
 
   #logRefusal(call: EntryCall, { reason, outcome, detail }: Refusal): void {
     const { context, attempt } = call;
-    const line = createEntryLog(call, {
-      level: 'info',
+    const line = {
+      level: 'info' as const,
       text: 'call was refused',
       fields: {
         priority: context.priority,
@@ -141,8 +144,9 @@
         outcome,
         ...(detail === undefined ? {} : { detail }),
       },
-    });
-    this.#services.outbox.add(line);
+    };
+    const { outbox, self } = this.#services;
+    outbox.add(createEntryLog(call, line, createBasis(call, self.name, reason, detail)));
   }
 
   #findParent(call: EntryCall): ExitCall | undefined {
@@ -154,7 +158,7 @@
     this.#services.shares.cancel(call.requestId);
     this.#services.outbox.add({ kind: 'releaseBody', bodyOf: call.requestId });
     if (call.fallback !== undefined) {
-      this.#services.outbox.add({ kind: 'releaseBody', bodyOf: call.fallback.answer.callId });
+      this.#services.outbox.add({ kind: 'releaseBody', bodyOf: call.fallback.bodyOf });
     }
     const parent = this.#findParent(call);
     if (parent === undefined) {
--- a/packages/node/src/connection/LinkStream.ts
+++ b/packages/node/src/connection/LinkStream.ts
@@ -83,6 +83,11 @@
     return this.#end === undefined;
   }
 
+  /** Monotonic time of the last frame of the peer, in milliseconds; a pause of this process counts as heard. */
+  get heardMs(): number {
+    return this.#heardMs;
+  }
+
   /**
    * Writes a frame. The frames of one turn of the event loop travel in one message.
    * @param frame - Frame to send; dropped when the stream has ended.
@@ -96,6 +101,7 @@
       process.nextTick(() => this.#flush());
     }
     const bytes = encodeFrame(frame);
+    this.#options.counters.count(`link_sent_${frame.body.case}`);
     this.#written.push(bytes);
     this.#writtenBytes += bytes.length;
     if (done !== undefined) {
@@ -184,6 +190,7 @@
       this.#options.counters.count('link_frame_unknown');
       return;
     }
+    this.#options.counters.count(`link_received_${frame.body.case}`);
     if (frame.body.case === 'ping') {
       const { sequence } = frame.body.value;
       this.write(buildFrame({ case: 'pong', value: { sequence } }));
--- a/packages/node/src/connection/PeerLink.ts
+++ b/packages/node/src/connection/PeerLink.ts
@@ -90,11 +90,21 @@
     return this.#stream.open;
   }
 
+  /** Monotonic time of the last frame of the peer, in milliseconds; that of the opening before the first. */
+  get heardMs(): number {
+    return this.#stream.heardMs;
+  }
+
   /** Calls in progress on the link. */
   get calls(): number {
     return (this.#calls?.count ?? 0) + this.#queue.length;
   }
 
+  /** Bodies that are not sent completely. */
+  get unsentBodies(): number {
+    return this.#calls?.unsentBodies ?? 0;
+  }
+
   /**
    * Sends a frame, or queues it until the link is up.
    * @param frame - Frame of the decisions.
--- a/packages/node/src/connection/PeerLinks.ts
+++ b/packages/node/src/connection/PeerLinks.ts
@@ -1,9 +1,11 @@
+import { setTimeout as wait } from 'node:timers/promises';
 import type { node, membership } from '@tanagerpond/core';
 import type { Frame, Hello } from '@tanagerpond/wire';
 import type { BodyStore, HeldBody } from '../process/bodies/index.js';
-import type { Log } from '../process/log/index.js';
+import type { Log, LogFields } from '../process/log/index.js';
 import type { Counters } from '../process/metrics/index.js';
 import type { LinkEnd } from './LinkStream.js';
+import { LostLinks } from './LostLinks.js';
 import { PeerLink } from './PeerLink.js';
 import type { LinkTransport, PeerLinkOptions } from './PeerLink.js';
 import type { InboundTransport } from './PeerServer.js';
@@ -40,6 +42,12 @@
 /** After a failed attempt, a peer is not tried again for this time, in milliseconds. */
 const RETRY_MS = 200;
 
+/** Time for the bodies of answers to be sent when the process ends, in milliseconds. */
+const CLOSE_LIMIT_MS = 1_000;
+
+/** Time between two checks for bodies that are not sent completely, in milliseconds. */
+const CLOSE_CHECK_MS = 10;
+
 /** Longest VM name in a `Hello`. */
 const NAME_LENGTH = 253;
 
@@ -62,6 +70,11 @@
 
   readonly #failedMs = new Map<string, number>();
 
+  /** Lost streams that this process opened, and lost ones that peers opened. */
+  readonly #lost = new LostLinks();
+
+  readonly #lostInbound = new LostLinks();
+
   #addresses: ReadonlyMap<string, string> = new Map();
 
   #timer: NodeJS.Timeout | undefined;
@@ -138,6 +151,17 @@
     this.#arriving.add(link);
   }
 
+  /**
+   * Measures the time since the last frame on the stream that this process opened to a peer, in milliseconds.
+   * @param peer - Name of the VM.
+   * @returns Undefined when nothing was ever heard, or when the stream was idle and closed.
+   */
+  measureLinkAge(peer: string): number | undefined {
+    const link = this.#outbound.get(peer);
+    const heardMs = link?.hello === undefined ? this.#lost.find(peer)?.heardMs : link.heardMs;
+    return heardMs === undefined ? undefined : this.#options.now() - heardMs;
+  }
+
   /** Shows the links for the state dump; at most 64 in each direction. */
   snapshot(): object {
     const outbound = [...this.#outbound].map(([peer, link]) => describeLink(peer, link));
@@ -151,13 +175,22 @@
     };
   }
 
-  /** Ends every link; written frames are sent first. */
-  [Symbol.asyncDispose](): Promise<void> {
+  /** Ends every link. Written frames are sent first, and the bodies of answers get a second to follow them. */
+  async [Symbol.asyncDispose](): Promise<void> {
     clearInterval(this.#timer);
+    await this.#finishAnswers();
     [...this.#outbound.values()].forEach((link) => link.close('stopped'));
     [...this.#inbound.values()].forEach(({ link }) => link.close('stopped'));
     [...this.#arriving].forEach((link) => link.close('stopped'));
-    return Promise.resolve();
+  }
+
+  async #finishAnswers(): Promise<void> {
+    const untilMs = this.#options.now() + CLOSE_LIMIT_MS;
+    const isSending = (): boolean =>
+      [...this.#inbound.values()].some(({ link }) => link.unsentBodies > 0);
+    while (isSending() && this.#options.now() < untilMs) {
+      await wait(CLOSE_CHECK_MS);
+    }
   }
 
   #open(peer: string): PeerLink | undefined {
@@ -198,6 +231,7 @@
 
   #enterOutbound(peer: string, { incarnation }: Hello): void {
     this.#failedMs.delete(peer);
+    this.#reportReturn(peer, incarnation, false);
     this.#options.publish({ kind: 'linkUp', peer, incarnation, inbound: false });
   }
 
@@ -206,6 +240,7 @@
     this.#arriving.delete(link);
     this.#inbound.get(peer)?.link.close('replaced');
     this.#inbound.set(peer, { link, hello });
+    this.#reportReturn(peer, incarnation, true);
     this.#options.publish({ kind: 'linkUp', peer, incarnation, inbound: true });
   }
 
@@ -215,11 +250,15 @@
     }
     if (hello === undefined) {
       this.#failedMs.set(peer, this.#options.now());
-      this.#options.log.write('warn', 'link', 'peer link could not be opened', { peer, end });
+      this.#options.log.write('warn', 'link', 'peer link could not be opened', {
+        peer,
+        end,
+        ...this.#describeLoss(peer, false),
+      });
       setImmediate(() => this.#options.publish({ kind: 'linkFailed', peer }));
       return;
     }
-    this.#reportDown(hello, false, end);
+    this.#reportDown(hello, false, end, link.heardMs);
   }
 
   #endInbound(link: PeerLink, hello: Hello | undefined, end: LinkEnd, unfinished: number): void {
@@ -231,18 +270,54 @@
       this.#inbound.delete(hello.vm);
     }
     if (end !== 'ended' || unfinished > 0) {
-      this.#reportDown(hello, true, end);
+      this.#reportDown(hello, true, end, link.heardMs);
     }
   }
 
-  #reportDown({ vm: peer, incarnation }: Hello, inbound: boolean, end: LinkEnd): void {
+  #reportDown(
+    { vm: peer, incarnation }: Hello,
+    inbound: boolean,
+    end: LinkEnd,
+    heardMs: number,
+  ): void {
     if (end === 'idle') {
       return;
     }
-    this.#options.log.write('warn', 'link', 'peer link is down', { peer, inbound, end });
+    const lostMs = this.#options.now();
+    this.#selectLost(inbound).record(peer, { incarnation, heardMs, lostMs });
+    this.#options.log.write('warn', 'link', 'peer link is down', {
+      peer,
+      inbound,
+      end,
+      incarnation,
+      linkAgeMs: Math.round(lostMs - heardMs),
+    });
     this.#options.publish({ kind: 'linkDown', peer, incarnation, inbound });
   }
 
+  #reportReturn(peer: string, incarnation: string, inbound: boolean): void {
+    const loss = this.#describeLoss(peer, inbound);
+    if (this.#selectLost(inbound).take(peer) !== undefined) {
+      const fields = { peer, inbound, incarnation, ...loss };
+      this.#options.log.write('info', 'link', 'peer link is up again', fields);
+    }
+  }
+
+  /** Describes for how long a lost link is away, and the incarnation that was at its other end. */
+  #describeLoss(peer: string, inbound: boolean): LogFields {
+    const lost = this.#selectLost(inbound).find(peer);
+    return lost === undefined
+      ? {}
+      : {
+          awayMs: Math.round(this.#options.now() - lost.lostMs),
+          formerIncarnation: lost.incarnation,
+        };
+  }
+
+  #selectLost(inbound: boolean): LostLinks {
+    return inbound ? this.#lostInbound : this.#lost;
+  }
+
   #advance(): void {
     const nowMs = this.#options.now();
     [...this.#arriving].forEach((link) => link.advance(nowMs));
--- a/packages/node/src/process/backend/BackendExchange.ts
+++ b/packages/node/src/process/backend/BackendExchange.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from 'undici';
 import { parseRawHeaders } from '../../request/parseRawHeaders.js';
 import type { AnswerMeaning, BackendDialect } from '../../ports/index.js';
+import { BodyBuffer } from '../bodies/index.js';
 import type { BodyStore, Reservation } from '../bodies/index.js';
 import { readFraming } from './readFraming.js';
 
@@ -34,9 +35,7 @@
 
   #reservation: Reservation | undefined;
 
-  readonly #chunks: Buffer[] = [];
-
-  #size = 0;
+  readonly #body = new BodyBuffer();
 
   #status = 0;
 
@@ -82,7 +81,7 @@
       return;
     }
     this.#framing = readFraming(this.#options.method, status, raw);
-    const declared = Number(raw.find(([name]) => name === 'content-length')?.[1] ?? 0);
+    const declared = Number(raw.find((header) => header[0] === 'content-length')?.[1] ?? 0);
     const expected = this.#options.method === 'HEAD' ? 0 : declared;
     if (expected > this.#options.maxAnswer) {
       this.#refuseAnswer();
@@ -98,14 +97,14 @@
     if (this.#done) {
       return;
     }
-    this.#size += chunk.length;
-    const missing = this.#size - (this.#reservation?.size ?? 0);
+    const size = this.#body.size + chunk.length;
+    const missing = size - (this.#reservation?.size ?? 0);
     const fits = missing <= 0 || this.#reservation?.tryGrow(missing) === true;
-    if (this.#size > this.#options.maxAnswer || !fits) {
+    if (size > this.#options.maxAnswer || !fits) {
       this.#refuseAnswer();
       return;
     }
-    this.#chunks.push(chunk);
+    this.#body.append(chunk);
   }
 
   onResponseEnd(): void {
@@ -119,10 +118,10 @@
       return;
     }
     this.#reservation = undefined;
-    store.add(callId, Buffer.concat(this.#chunks, this.#size), reservation);
+    store.add(callId, this.#body.toBuffer(), reservation);
     const { headers, notRun } = this.#meaning;
     const status = this.#status;
-    const bodySize = this.#size;
+    const bodySize = this.#body.size;
     const framing = this.#framing;
     this.#finish({ kind: 'answered', status, headers, bodySize, framing, shed: notRun });
   }
--- a/packages/node/src/process/platform/PlatformClient.ts
+++ b/packages/node/src/process/platform/PlatformClient.ts
@@ -1,5 +1,8 @@
 import { Result } from 'true-myth';
-import { Pool } from 'undici';
+import { buildConnector, Pool } from 'undici';
+import type { IncomingHttpHeaders } from 'undici/types/header.js';
+import { readFraming } from '../backend/index.js';
+import { ANSWER_HEAD_BYTES, limitAnswers } from '../http/index.js';
 import { PlatformError } from './PlatformError.js';
 
 /** A value of the platform. */
@@ -28,7 +31,8 @@
     this.#pool = new Pool(`http://${address}`, {
       connections: 3,
       pipelining: 1,
-      connect: { timeout: CONNECT_LIMIT_MS },
+      connect: limitAnswers(buildConnector({ timeout: CONNECT_LIMIT_MS })),
+      maxHeaderSize: ANSWER_HEAD_BYTES,
       maxResponseSize: ANSWER_BYTES,
       headersTimeout: 0,
       bodyTimeout: ANSWER_LIMIT_MS,
@@ -80,6 +84,9 @@
       if (answer.statusCode !== 200) {
         return Result.err(new PlatformError(path, 'status', answer.statusCode));
       }
+      if (isCloseDelimited(answer.headers)) {
+        return Result.err(new PlatformError(path, 'lengthMissing'));
+      }
       const index = Number(answer.headers['platform-index'] ?? readIndex(text));
       return Number.isSafeInteger(index)
         ? Result.ok({ index, text })
@@ -90,6 +97,12 @@
   }
 }
 
+/** Such a value may be truncated; the watch would then wait for a newer one and never get the whole. */
+function isCloseDelimited(headers: IncomingHttpHeaders): boolean {
+  const pairs = Object.entries(headers).map(([name, value]) => [name, String(value)] as const);
+  return readFraming('GET', 200, pairs) === 'close';
+}
+
 /** The VM list carries its index in the value. */
 function readIndex(text: string): unknown {
   try {
--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
@@ -66,6 +67,15 @@
 
   readonly #pending = new Map<string, PendingRequest>();
 
+  /** Answers that are not sent completely, from the head of their request on. */
+  readonly #unsent = new Set<ServerResponse>();
+
+  /** Answers to requests that malformed bytes follow; they close their connections. */
+  readonly #last = new WeakSet<ServerResponse>();
+
+  /** Answers that are being written. */
+  readonly #writing = new Map<ServerResponse, PlainAnswer>();
+
   readonly #server: Server;
 
   #draining = false;
@@ -86,6 +96,9 @@
       },
     );
     this.#server.maxConnections = options.limits.connections;
+    this.#server.on('connection', (socket) =>
+      socket.once('close', () => this.#closeQueued(socket)),
+    );
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.#refuseMalformed(error, socket as Socket),
     );
@@ -166,12 +179,38 @@
   }
 
   /** Stops listening; connections get a second to finish. */
-  [Symbol.asyncDispose](): Promise<void> {
-    const closeAll = (): void => this.#server.closeAllConnections();
-    return stopListening(this.#server, closeAll, CLOSE_LIMIT_MS);
+  async [Symbol.asyncDispose](): Promise<void> {
+    const startedMs = this.#options.now();
+    await this.#finishWriting();
+    // The library takes a connection for idle while an answer is still being written, and closes it at once.
+    this.#resetUnfinished();
+    const remainingMs = Math.max(0, CLOSE_LIMIT_MS - (this.#options.now() - startedMs));
+    await stopListening(this.#server, () => this.#closeAll(), remainingMs);
+  }
+
+  async #finishWriting(): Promise<void> {
+    const signal = AbortSignal.timeout(CLOSE_LIMIT_MS);
+    const outgoing = [...this.#writing.keys()];
+    await Promise.allSettled(outgoing.map((answer) => once(answer, 'close', { signal })));
+  }
+
+  #closeAll(): void {
+    this.#resetUnfinished();
+    this.#server.closeAllConnections();
+  }
+
+  /** An orderly close would make a part of a close-delimited answer look like the whole. */
+  #resetUnfinished(): void {
+    this.#writing.forEach(({ closeDelimited }, { socket }) => {
+      if (closeDelimited === true) {
+        socket?.resetAndDestroy();
+      }
+    });
   }
 
   async #handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    this.#unsent.add(outgoing);
+    outgoing.once('close', () => this.#unsent.delete(outgoing));
     if (!HOST_PATTERN.test(incoming.headers.host ?? '')) {
       this.#refuseHost(outgoing);
       return;
@@ -245,9 +284,12 @@
   }
 
   #send(requestId: string, pending: PendingRequest, answer: PlainAnswer): void {
+    const { outgoing } = pending;
     this.#pending.delete(requestId);
+    this.#writing.set(outgoing, answer);
+    outgoing.once('close', () => this.#writing.delete(outgoing));
     this.#options.latency.record(this.#options.now() - pending.arrivedMs);
-    writeAnswer(pending.outgoing, answer, this.#draining);
+    writeAnswer(outgoing, answer, this.#draining || this.#last.has(outgoing));
   }
 
   #refuseHost(outgoing: ServerResponse): void {
@@ -262,6 +304,9 @@
       socket.destroy();
       return;
     }
+    if (this.#closeAfterAnswer(socket)) {
+      return;
+    }
     const answer = this.#options.dialect.buildRefusal(
       request.createRefusal('requestMalformed', { detail: error.code }),
       [],
@@ -269,6 +314,23 @@
     socket.end(renderAnswer(answer));
     setTimeout(() => socket.destroy(), LINGER_MS).unref();
   }
+
+  /** The library closes only the answer whose turn it is, not those of pipelined requests behind it. */
+  #closeQueued(socket: Socket): void {
+    [...this.#unsent]
+      .filter((outgoing) => outgoing.socket === null && outgoing.req.socket === socket)
+      .forEach((outgoing) => outgoing.emit('close'));
+  }
+
+  /** Tells whether an earlier request of the connection is still to be answered, as whose answer a refusal would be read. */
+  #closeAfterAnswer(socket: Socket): boolean {
+    const newest = [...this.#unsent].findLast(({ req }) => req.complete && req.socket === socket);
+    if (newest === undefined) {
+      return false;
+    }
+    this.#last.add(newest);
+    return true;
+  }
 }
 
 /** Time after which a caller may come back when the buffers are full, in milliseconds; jittered. */
