Deliver a kept success where the retry for a proved one brings a failure

A caller got 500 in place of a 200 of unknown length whose end was not proved, where the second backend server failed. The first answer was given up for any other one.

A failed answer no longer replaces a kept success. Ruled out: a refusal, after which the kept answer was delivered already.

Before: the new test failed (500 in place of 200); after: it passes.

--- a/packages/core/src/request/calls/EntryAttempts.ts
+++ b/packages/core/src/request/calls/EntryAttempts.ts
@@ -25,6 +25,9 @@
 /** Refusals for want of room. */
 const FULL_REASONS: ReadonlySet<RefusalReason> = new Set(['overloaded', 'deadlineExpired']);
 
+/** Lowest status of a failed answer. */
+const FIRST_FAILURE = 400;
+
 /** Time after which a VM that could not be reached is worth another try, in milliseconds. */
 const UNREACHABLE_RETRY_MS = 1_000;
 
@@ -110,7 +113,10 @@
     this.#services.trees?.recordAnswer(call.route.name, call.route.service, answer.demands, nowMs);
     this.#closer.recordTouched(call, answer.levels);
     call.allowance.settleChild(attempt.granted, answer.unspentAllowance);
-    if (!answer.closeDelimited || !this.#retryForProof(call, answer, nowMs)) {
+    if (isReplacedByFallback(call, answer)) {
+      this.#services.outbox.add({ kind: 'releaseBody', bodyOf: answer.callId });
+      this.#closer.answerFallback(call);
+    } else if (!answer.closeDelimited || !this.#retryForProof(call, answer, nowMs)) {
       this.#closer.answer(call, answer, nowMs);
     }
   }
@@ -327,6 +333,15 @@
   return VM_REASONS.has(refusal.reason) ? 'refused' : 'cancelled';
 }
 
+/** A success whose end is not proved is worth more to the requester than a failure of the retry. */
+function isReplacedByFallback({ fallback }: EntryCall, answer: Answer): boolean {
+  return (
+    fallback !== undefined &&
+    fallback.answer.status < FIRST_FAILURE &&
+    answer.status >= FIRST_FAILURE
+  );
+}
+
 function isBound(call: EntryCall): boolean {
   return call.once?.kind === 'ticket' || call.mayHaveRun;
 }
--- a/packages/core/src/request/calls/EntryCloser.ts
+++ b/packages/core/src/request/calls/EntryCloser.ts
@@ -56,6 +56,20 @@
     this.#close(call);
   }
 
+  /**
+   * Gives the requester the answer that an earlier attempt brought.
+   * @param call - Call to end.
+   * @returns False when no answer is kept.
+   */
+  answerFallback(call: EntryCall): boolean {
+    if (call.fallback === undefined) {
+      return false;
+    }
+    const { answer, receivedMs, bodyOf } = call.fallback;
+    this.answer(call, answer, receivedMs, bodyOf);
+    return true;
+  }
+
   /**
    * Refuses the requester, or gives it the answer that an earlier attempt brought. Says "unknown" in place of "not run"
    * when an earlier attempt may have run.
@@ -64,9 +78,7 @@
    * @param headers - Headers besides those that follow from the refusal.
    */
   refuse(call: EntryCall, refusal: Refusal, headers: readonly HeaderPair[] = []): void {
-    if (call.fallback !== undefined) {
-      const { answer, receivedMs, bodyOf } = call.fallback;
-      this.answer(call, answer, receivedMs, bodyOf);
+    if (this.answerFallback(call)) {
       return;
     }
     const isDoubtful = call.mayHaveRun && refusal.outcome === 'notRun';
--- a/packages/core/test/process/node/FakeBackend.ts
+++ b/packages/core/test/process/node/FakeBackend.ts
@@ -38,6 +38,9 @@
 
   crashes = 0;
 
+  /** Status of its answers. */
+  status = 200;
+
   /** What tells the end of its answers. */
   framing: AnswerFraming = 'length';
 
@@ -133,7 +136,7 @@
 
   #answer(call: BackendCall, body: string): void {
     if (this.#running.delete(call.callId)) {
-      this.#options.node.receiveAnswer(call.callId, 200, body, this.framing);
+      this.#options.node.receiveAnswer(call.callId, this.status, body, this.framing);
     }
   }
 }
--- a/packages/core/test/process/node/closeDelimitedAnswers.test.ts
+++ b/packages/core/test/process/node/closeDelimitedAnswers.test.ts
@@ -85,6 +85,21 @@
     expect(listKeptBodies()).to.deep.equal([0, 0, 0, 0]);
   });
 
+  it('guards against a kept success that the failure of the retry replaces', () => {
+    setFraming(['front-1']);
+    fleet.find('front-2').backend.status = 500;
+    const targets = ['a', 'b', 'c', 'd'].map((id) => `/front/read/${id}`);
+    const ends = new Map(targets.map((target) => [target, send('GET', target)]));
+    const retried = targets.filter(
+      (target) => fleet.runs.filter(({ requestId }) => requestId === target).length === 2,
+    );
+    expect(retried).to.not.have.length(0);
+    retried.forEach((target) =>
+      expect(ends.get(target)).to.include({ status: 200, body: `answer to ${target}` }),
+    );
+    expect(listKeptBodies()).to.deep.equal([0, 0, 0, 0]);
+  });
+
   it('guards against a second run, and a stored answer that gets a length, where a call runs at most once', () => {
     setFraming(['front-1', 'front-2']);
     const refused = send('POST', '/front/book/a');
