Retry for a proved end only where another VM can give one, and only for successes

A retry at a service with one usable VM took an allowance and a part of the retry ratio for nothing, and the end of a failure is worth no second run. Found by reading; the tests of the retry pass as before.

--- a/packages/core/src/request/calls/EntryAttempts.ts
+++ b/packages/core/src/request/calls/EntryAttempts.ts
@@ -236,11 +236,14 @@
    * one comes.
    */
   #retryForProof(call: EntryCall, answer: Answer, nowMs: number): boolean {
-    const isFirst = call.fallback === undefined;
-    if (!isFirst || !call.route.repeatable || !hasAttemptsLeft(call, nowMs)) {
+    const isWorthProof = answer.status < FIRST_FAILURE && call.fallback === undefined;
+    if (!isWorthProof || !call.route.repeatable || !hasAttemptsLeft(call, nowMs)) {
       return false;
     }
-    if (!this.#takeRetry(call, nowMs) || this.#sender.send(call, nowMs) !== undefined) {
+    if (this.#sender.chooseVm(call, nowMs) === undefined || !this.#takeRetry(call, nowMs)) {
+      return false;
+    }
+    if (this.#sender.send(call, nowMs) !== undefined) {
       return false;
     }
     call.fallback = { answer, bodyOf: this.#keepFallbackBody(call, answer), receivedMs: nowMs };
