Choose a VM with fewer lists and without a comparing sort

The router made about ten lists of every VM of the service for each call and sorted their latencies with a comparing function. The candidates of a list of VMs are kept until the list changes, the second draw needs no list of the others, and latencies are sorted as a typed array. Draws and sums keep their order, so that the same VMs are chosen.

--- a/packages/core/src/process/routing/Router.ts
+++ b/packages/core/src/process/routing/Router.ts
@@ -35,6 +35,9 @@
 
   readonly #statistics = new Map<string, VmStatistics>();
 
+  /** Candidates for each list of VMs; the membership gives the same list until it changes. */
+  #candidates = new WeakMap<readonly VmRecord[], readonly Candidate[]>();
+
   /** @param options - Own VM, what is known of the fleet, and the source of choices. */
   constructor(options: { self: VmIdentity; membership: Membership; random: RandomSource }) {
     this.#self = options.self;
@@ -51,12 +54,7 @@
    */
   choose(service: string, excluded: ReadonlySet<string>, nowMs: number): VmRecord | undefined {
     const all = this.#findCandidates(service, nowMs);
-    const allowed = all.filter(({ vm }) => !excluded.has(vm.name));
-    const linked = allowed.filter(({ statistics }) => statistics.isLinkUsable(nowMs));
-    // A link that broke lately is dialled all the same before a call is refused for want of a VM.
-    const reachable = linked.length > 0 ? linked : allowed;
-    const kept = reachable.filter(({ statistics }) => !statistics.isEjected(nowMs));
-    const usable = kept.length > 0 ? kept : reachable;
+    const usable = findUsable(all, excluded, nowMs);
     const usualMs = computeUsualMs(all);
     const group = this.#pickDomain(usable, usualMs, nowMs);
     return this.#pickBetter(group, usualMs, nowMs)?.vm;
@@ -108,15 +106,27 @@
   }
 
   #findCandidates(service: string, nowMs: number): readonly Candidate[] {
-    return this.#membership
-      .findCandidates(service)
-      .map((vm) => ({ vm, statistics: this.#resolveStatistics(vm.name, nowMs) }));
+    const vms = this.#membership.findCandidates(service);
+    const known = this.#candidates.get(vms);
+    if (known !== undefined) {
+      return known;
+    }
+    const candidates = vms.map((vm) => ({
+      vm,
+      statistics: this.#resolveStatistics(vm.name, nowMs),
+    }));
+    this.#candidates.set(vms, candidates);
+    return candidates;
   }
 
   #pickDomain(usable: readonly Candidate[], usualMs: number, nowMs: number): readonly Candidate[] {
-    const isLocal = ({ vm }: Candidate): boolean => vm.failureDomain === this.#self.failureDomain;
-    const local = usable.filter(isLocal);
-    const remote = usable.filter((candidate) => !isLocal(candidate));
+    const local: Candidate[] = [];
+    const remote: Candidate[] = [];
+    for (let index = 0; index < usable.length; index++) {
+      const candidate = usable[index];
+      const isLocal = candidate.vm.failureDomain === this.#self.failureDomain;
+      (isLocal ? local : remote).push(candidate);
+    }
     if (local.length === 0 || remote.length === 0) {
       return usable;
     }
@@ -127,11 +137,8 @@
   }
 
   #pickBetter(group: readonly Candidate[], usualMs: number, nowMs: number): Candidate | undefined {
-    const first = this.#pick(group, nowMs);
-    const second = this.#pick(
-      group.filter((candidate) => candidate !== first),
-      nowMs,
-    );
+    const first = this.#pick(group, undefined, nowMs);
+    const second = this.#pick(group, first, nowMs);
     if (first === undefined || second === undefined) {
       return first;
     }
@@ -140,15 +147,27 @@
   }
 
   /** A candidate in slow start is drawn less often: after a rejected draw, another one is taken. */
-  #pick(group: readonly Candidate[], nowMs: number): Candidate | undefined {
-    const drawn = group[Math.floor(this.#random.next() * group.length)];
+  #pick(
+    group: readonly Candidate[],
+    skipped: Candidate | undefined,
+    nowMs: number,
+  ): Candidate | undefined {
+    const drawn = this.#draw(group, skipped);
     if (drawn === undefined || this.#random.next() < drawn.statistics.computePart(nowMs)) {
       return drawn;
     }
-    const others = group.filter((candidate) => candidate !== drawn);
+    const others = group.filter((candidate) => candidate !== drawn && candidate !== skipped);
     return others[Math.floor(this.#random.next() * others.length)] ?? drawn;
   }
 
+  /** Draws a candidate other than the skipped one, without a list of the others. */
+  #draw(group: readonly Candidate[], skipped: Candidate | undefined): Candidate | undefined {
+    const skippedAt = skipped === undefined ? group.length : group.indexOf(skipped);
+    const count = skipped === undefined ? group.length : group.length - 1;
+    const drawnAt = Math.floor(this.#random.next() * count);
+    return count === 0 ? undefined : group[drawnAt < skippedAt ? drawnAt : drawnAt + 1];
+  }
+
   #dropOutlier(name: string, nowMs: number): void {
     const service = this.#membership.find(name)?.service;
     const all = service === undefined ? [] : this.#findCandidates(service, nowMs);
@@ -178,6 +197,7 @@
   }
 
   #dropIdle(nowMs: number): void {
+    this.#candidates = new WeakMap();
     this.#statistics.forEach((statistics, vm) => {
       const isIdle = statistics.inFlight === 0 && nowMs - statistics.usedMs > IDLE_MS;
       if (isIdle || this.#membership.find(vm) === undefined) {
@@ -187,19 +207,42 @@
   }
 }
 
+/** Runs over every VM of a service for each call, so it makes no more lists than needed. */
+function findUsable(
+  all: readonly Candidate[],
+  excluded: ReadonlySet<string>,
+  nowMs: number,
+): readonly Candidate[] {
+  const allowed = excluded.size === 0 ? all : all.filter(({ vm }) => !excluded.has(vm.name));
+  const linked = allowed.filter(({ statistics }) => statistics.isLinkUsable(nowMs));
+  // A link that broke lately is dialled all the same before a call is refused for want of a VM.
+  const reachable = linked.length > 0 ? linked : allowed;
+  const kept = reachable.filter(({ statistics }) => !statistics.isEjected(nowMs));
+  return kept.length > 0 ? kept : reachable;
+}
+
 function computeUsualMs(candidates: readonly Candidate[]): number {
-  const known = candidates
-    .flatMap(({ statistics }) => statistics.latencyMs ?? [])
-    .sort((left, right) => left - right);
-  return known[Math.floor((known.length - 1) / 2)] ?? UNKNOWN_LATENCY_MS;
+  const known = new Float64Array(candidates.length);
+  let count = 0;
+  for (let index = 0; index < candidates.length; index++) {
+    const { latencyMs } = candidates[index].statistics;
+    if (latencyMs !== undefined) {
+      known[count] = latencyMs;
+      count += 1;
+    }
+  }
+  // Numbers of a typed array are sorted without a function that compares them.
+  const sorted = known.subarray(0, count).sort();
+  return sorted[Math.floor((count - 1) / 2)] ?? UNKNOWN_LATENCY_MS;
 }
 
 /** Harmonic mean, because a single slow VM gets few calls of its group. */
 function computeGroupMs(group: readonly Candidate[], usualMs: number, nowMs: number): number {
-  const rates = group.map(
-    ({ statistics }) => 1 / Math.max(0.01, statistics.computeLatencyMs(usualMs, nowMs)),
-  );
-  return group.length / rates.reduce((sum, rate) => sum + rate, 0);
+  let rate = 0;
+  for (let index = 0; index < group.length; index++) {
+    rate += 1 / Math.max(0.01, group[index].statistics.computeLatencyMs(usualMs, nowMs));
+  }
+  return group.length / rate;
 }
 
 function computeScore({ statistics }: Candidate, usualMs: number, nowMs: number): number {
