--- a/packages/wire/src/MessageEncoder.ts
+++ b/packages/wire/src/MessageEncoder.ts
@@ -176,8 +176,7 @@
   return (
     value === undefined ||
     value === '' ||
-    // -0 is not the default of a float.
-    Object.is(value, 0) ||
+    value === 0 ||
     value === false ||
     value === null ||
     (value instanceof Uint8Array && value.length === 0)
