--- a/packages/wire/src/frameCodec.ts
+++ b/packages/wire/src/frameCodec.ts
@@ -1,9 +1,8 @@
+import { BinaryWriter, WireType } from '@bufbuild/protobuf/wire';
 import { Result } from 'true-myth';
 import { createFrameTypes } from './createFrameTypes.js';
-import { createMessagePlan, createTag, type FieldPlan } from './createMessagePlan.js';
 import { FrameError } from './FrameError.js';
 import type { Frame } from './generated/link_pb.js';
-import { MessageEncoder } from './MessageEncoder.js';
 
 /** Largest message of a link in bytes. A section of a bundle (up to 1 MB) is the largest thing in one frame. */
 export const MAX_BATCH_BYTES = 2 * 1024 * 1024;
@@ -18,31 +17,17 @@
 
 const TYPES = createFrameTypes();
 
-const ENCODER = new MessageEncoder();
-
-const NO_BYTES = new Uint8Array(0);
-
-/** Field of a frame for each kind of body. */
-const BODY_FIELDS: ReadonlyMap<string, FieldPlan> = new Map(
-  createMessagePlan(TYPES.frame).map((field) => [field.name, field]),
-);
-
-/** Field `frames` of `Batch`, with frames that are encoded already. */
-const FRAMES_FIELD: FieldPlan = {
-  name: 'frames',
-  tag: createTag(1, 'bytes'),
-  kind: 'bytes',
-  repeated: true,
-  message: undefined,
-};
+/** Number of the field `frames` of `Batch`. */
+const FRAMES_FIELD = 1;
 
 /**
  * Encodes a frame for the peer link.
  * @param frame - Frame to send.
  */
-export function encodeFrame({ body }: Frame): Uint8Array {
-  const field = body.case === undefined ? undefined : BODY_FIELDS.get(body.case);
-  return field === undefined ? NO_BYTES : ENCODER.encodeField(field, body.value);
+export function encodeFrame(frame: Frame): Uint8Array {
+  const { body } = frame;
+  const fields = body.case === undefined ? {} : { [body.case]: omitDefaults(body.value) };
+  return TYPES.frame.encode(fields).finish();
 }
 
 /**
@@ -50,7 +35,10 @@
  * @param frames - Results of `encodeFrame`, in order.
  */
 export function joinFrames(frames: readonly Uint8Array[]): Buffer {
-  return ENCODER.encodeList(FRAMES_FIELD, frames);
+  const writer = new BinaryWriter();
+  frames.forEach((frame) => writer.tag(FRAMES_FIELD, WireType.LengthDelimited).bytes(frame));
+  const bytes = writer.finish();
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 }
 
 /**
@@ -72,6 +60,35 @@
   }
 }
 
+/** A field with the default value is not written, as the schema's language has it; protobufjs would write it. */
+function omitDefaults(message: object): object {
+  const fields = message as Readonly<Record<string, unknown>>;
+  const kept: Record<string, unknown> = {};
+  // Runs for every message of every frame, so it makes no list of pairs.
+  Object.keys(fields).forEach((name) => {
+    const value = fields[name];
+    if (!isDefault(value)) {
+      kept[name] = omitInside(value);
+    }
+  });
+  return kept;
+}
+
+function omitInside(value: unknown): unknown {
+  if (Array.isArray(value)) {
+    return value.map(omitInside);
+  }
+  const isMessage = typeof value === 'object' && value !== null && !(value instanceof Uint8Array);
+  return isMessage ? omitDefaults(value) : value;
+}
+
+function isDefault(value: unknown): boolean {
+  if (typeof value !== 'object') {
+    return value === undefined || value === '' || value === 0 || value === false;
+  }
+  return (Array.isArray(value) || value instanceof Uint8Array) && value.length === 0;
+}
+
 /** Messages inside a message are null when they are absent, and undefined in the generated types. */
 function toFrame(decoded: DecodedBatch['frames'][number]): Frame {
   const kind = decoded.body;
