--- a/packages/wire/src/frameCodec.ts
+++ b/packages/wire/src/frameCodec.ts
@@ -84,7 +84,7 @@
 
 function isDefault(value: unknown): boolean {
   if (typeof value !== 'object') {
-    return value === undefined || value === '' || value === 0 || value === false;
+    return value === undefined || value === '' || Object.is(value, 0) || value === false;
   }
   return (Array.isArray(value) || value instanceof Uint8Array) && value.length === 0;
 }
--- a/packages/wire/test/frameCodec.test.ts
+++ b/packages/wire/test/frameCodec.test.ts
@@ -8,6 +8,7 @@
   FrameSchema,
   joinFrames,
   MAX_BATCH_BYTES,
+  Outcome,
   type Frame,
 } from '../src/index.js';
 
@@ -76,6 +77,50 @@
     );
   });
 
+  it('guards against calls and answers whose bytes differ from those of the schema, with long and nested fields', () => {
+    const text = fc.string({ unit: 'binary', maxLength: 200 });
+    const count = fc.nat({ max: 2 ** 32 - 1 });
+    const headers = fc.array(fc.record({ name: text, value: text }), { maxLength: 12 });
+    const bytes = fc.uint8Array({ maxLength: 300 });
+    const context = fc.record({ rootId: text, priority: count, remainingMs: fc.double() });
+    const load = fc.record({ inFlight: count, queued: count, limit: count });
+    const workspaces = fc.array(fc.record({ workspace: text, fraction: fc.double() }));
+    const levels = fc.array(fc.record({ service: text, lowestClass: count, workspaces }));
+    const demands = fc.array(fc.record({ service: text, calls: fc.float() }));
+    const openCall = fc.record(
+      { callId: text, context, headers, bodySize: count, body: bytes, repeatable: fc.boolean() },
+      { requiredKeys: [] },
+    );
+    const answer = fc.record(
+      { callId: text, status: count, headers, load, levels, demands, body: bytes },
+      { requiredKeys: [] },
+    );
+    fc.assert(
+      fc.property(openCall, answer, (call, reply) => {
+        const frames = [
+          create(FrameSchema, { body: { case: 'openCall', value: call } }),
+          create(FrameSchema, { body: { case: 'answer', value: reply } }),
+          create(FrameSchema, {
+            body: { case: 'refused', value: { reason: 'overloaded', outcome: Outcome.NOT_RUN } },
+          }),
+        ];
+        const encoded = joinFrames(frames.map(encodeFrame));
+        const whole = toBinary(BatchSchema, create(BatchSchema, { frames }));
+        expect(encoded.equals(whole)).to.equal(true);
+      }),
+      { ...RUNS, numRuns: 500 },
+    );
+  });
+
+  it('guards against a large frame whose bytes differ from those of the schema', () => {
+    const data = new Uint8Array(300_000).fill(7);
+    const frame = create(FrameSchema, {
+      body: { case: 'bodyChunk', value: { callId: 'call', offset: 1, data } },
+    });
+    const whole = toBinary(BatchSchema, create(BatchSchema, { frames: [frame] }));
+    expect(joinFrames([encodeFrame(frame)]).equals(whole)).to.equal(true);
+  });
+
   it('guards against messages of any size, without frames, or with kinds that break the rest', () => {
     const faults = [Buffer.alloc(0), Buffer.alloc(MAX_BATCH_BYTES + 1)].map((bytes) => {
       const decoded = decodeBatch(bytes);
