Refuse the queued calls of a VM that the list takes away, and take a removed entry for a VM that leaves

Ruled out: the entry nodes, which choose no VM that is not live in the list.

Queued calls are now refused as leaving, not run, so that the entry node sends them to another VM at once. A VM that was listed and is not any more leaves; one that was never listed is starting.

--- a/packages/core/src/process/node/Departure.ts
+++ b/packages/core/src/process/node/Departure.ts
@@ -10,6 +10,9 @@
  */
 const ANNOUNCE_MS = 2_000;
 
+/** What the platform's list says of a VM. */
+export type ListedState = 'live' | 'leaving' | 'absent';
+
 /** Decides whether this VM leaves, tells the peers, and says when a drain is done. */
 export class Departure {
   readonly #self: VmIdentity;
@@ -24,7 +27,8 @@
 
   #backendDrains = false;
 
-  #listedLeaving = false;
+  /** What the list says of the own VM; undefined before it first appears there. */
+  #listed: ListedState | undefined;
 
   #announced = false;
 
@@ -45,7 +49,7 @@
 
   /** Tells whether the backend server gets no new calls. */
   isLeaving(): boolean {
-    return this.#drainSinceMs !== undefined || this.#backendDrains || this.#listedLeaving;
+    return this.#drainSinceMs !== undefined || this.#backendDrains || this.#isListedAway();
   }
 
   /** True once the process is being stopped; a backend server that leaves does not stop it. */
@@ -72,12 +76,21 @@
   }
 
   /**
-   * Takes what the platform's list says of the own VM.
-   * @param leaving - The list has it as leaving.
+   * Takes what the platform's list says of the own VM. One that was listed and is not any more leaves, too.
+   * @param state - State in the list.
+   * @returns The state of the backend server that follows, when it changed.
    */
-  recordListed(leaving: boolean): void {
-    this.#listedLeaving = leaving;
+  recordListed(state: ListedState): 'up' | 'draining' | undefined {
+    if (state === 'absent' && this.#listed === undefined) {
+      return undefined;
+    }
+    const before = this.#isListedAway();
+    this.#listed = state;
     this.#update();
+    if (this.#isListedAway() === before) {
+      return undefined;
+    }
+    return before ? 'up' : 'draining';
   }
 
   /**
@@ -106,6 +119,10 @@
     return this.#isDone;
   }
 
+  #isListedAway(): boolean {
+    return this.#listed !== undefined && this.#listed !== 'live';
+  }
+
   #update(): void {
     const leaving = this.isLeaving();
     if (leaving === this.#announced) {
--- a/packages/core/src/process/node/NodeMachine.ts
+++ b/packages/core/src/process/node/NodeMachine.ts
@@ -297,7 +297,11 @@
     members.replaceList(vms, isDerived === true ? undefined : nowMs);
     this.#services.shares.applyMembership(nowMs);
     this.#configureAdmission();
-    this.#departure.recordListed(members.find(self.name)?.state === 'leaving');
+    const state = this.#departure.recordListed(members.find(self.name)?.state ?? 'absent');
+    if (state !== undefined) {
+      // Calls that wait in the queue would reach a leaving backend server when it has room, long after it left.
+      this.#exit.runs.apply(this.#services.admission.setBackend(state, nowMs), nowMs);
+    }
   }
 
   #adopt(bundle: Bundle, nowMs: number): void {
