--- a/packages/core/src/request/calls/EntryAttempts.ts
+++ b/packages/core/src/request/calls/EntryAttempts.ts
@@ -1,27 +1,17 @@
 import type { Answer, Refused } from '@tanagerpond/wire';
 import type { NodeServices } from '../../process/node/NodeServices.js';
-import type { RoutingOutcome } from '../../process/routing/index.js';
 import { computeRetryAfter } from '../computeRetryAfter.js';
-import { createRefusal, REFUSALS, type Refusal, type RefusalReason } from '../refusals.js';
+import { createRefusal, type Refusal, type RefusalReason } from '../refusals.js';
 import type { AttemptSender } from './AttemptSender.js';
 import { decideRetry } from './decideRetry.js';
 import type { Attempt, EntryCall } from './EntryCall.js';
 import type { EntryCloser } from './EntryCloser.js';
 import type { EntryTable } from './EntryTable.js';
-import { fromWireOutcome } from './fromWireOutcome.js';
+import { describeRefusedOutcome } from './describeRefusedOutcome.js';
 import { hasAttemptsLeft } from './hasAttemptsLeft.js';
+import { readRefusal } from './readRefusal.js';
 import type { TicketRequests } from './TicketRequests.js';
 
-/** Refusals that show that a VM is busy or away. */
-const VM_REASONS: ReadonlySet<RefusalReason> = new Set([
-  'overloaded',
-  'noBackend',
-  'leaving',
-  'starting',
-  'ticketTableFull',
-  'buffersFull',
-]);
-
 /** Refusals for want of room. */
 const FULL_REASONS: ReadonlySet<RefusalReason> = new Set(['overloaded', 'deadlineExpired']);
 
@@ -134,7 +124,7 @@
     }
     const { call, attempt } = found;
     const refusal = readRefusal(refused);
-    const kind = describeOutcome(refusal);
+    const kind = describeRefusedOutcome(refusal);
     const latencyMs = nowMs - attempt.sentMs;
     this.#services.router.recordOutcome(peer, { kind, latencyMs, load: refused.load }, nowMs);
     this.#services.trees?.recordRefusal(
@@ -312,14 +302,6 @@
   }
 }
 
-function readRefusal(refused: Refused): Refusal {
-  const reason = refused.reason in REFUSALS ? (refused.reason as RefusalReason) : 'backendFailed';
-  const outcome = fromWireOutcome(refused.outcome);
-  return refused.retryAfterMs > 0
-    ? createRefusal(reason, { outcome, retryAfterMs: refused.retryAfterMs })
-    : createRefusal(reason, { outcome });
-}
-
 /** A new incarnation cannot have run a call of this node that was never sent to an earlier one. */
 function strengthen(call: EntryCall, refusal: Refusal): Refusal {
   const isFirst = call.once?.kind === 'own' && !call.mayHaveRun;
@@ -328,14 +310,6 @@
     : refusal;
 }
 
-/** Tells the router what a refusal says about the VM: nothing when it follows from the request itself. */
-function describeOutcome(refusal: Refusal): RoutingOutcome['kind'] {
-  if (refusal.outcome !== 'notRun') {
-    return 'failed';
-  }
-  return VM_REASONS.has(refusal.reason) ? 'refused' : 'cancelled';
-}
-
 /** A success whose end is not proved is worth more to the requester than a failure of the retry. */
 function isReplacedByFallback({ fallback }: EntryCall, answer: Answer): boolean {
   return (
