--- a/scripts/test/SummaryReporter.test.ts
+++ b/scripts/test/SummaryReporter.test.ts
@@ -136,14 +136,14 @@
   });
 
   it('guards against a listed test that is skipped', async () => {
-    const skipped = BROKEN.replace('it(', 'it.skip(');
+    const skipped = BROKEN.replace(/^it/, 'it.skip');
     const { code, lines, last } = await run([skipped], renderEntry('Fixture is broken'));
     expect([code, last]).to.deep.equal([1, '0 passed, 1 failed, 1 skipped']);
     expect(lines.at(-2)).to.include('was skipped');
   });
 
   it('guards against an exclusive test beside which a listed one is not run', async () => {
-    const exclusive = PASSING.replace('it(', 'it.only(');
+    const exclusive = PASSING.replace(/^it/, 'it.only');
     const { code, lines } = await run([exclusive, BROKEN], renderEntry('Fixture is broken'));
     expect(code).to.equal(1);
     expect(lines.at(-2)).to.include('was not run');
