Bring a configuration into force when one of its entries cannot be read

Callers of a site with upload routes got 503 for every request: the route kind upload was unknown, and one unknown value anywhere refused the whole configuration at every node.

Cause: the schema checked the document as a whole.

--- a/packages/bundle/src/request/HostRouteTable.ts
+++ b/packages/bundle/src/request/HostRouteTable.ts
@@ -13,10 +13,20 @@
   readonly host: string;
   /** Begins and ends with a slash. */
   readonly pathPrefix: string;
-  /** At least one target; several when the requests are split between services. */
+  /**
+   * Several targets when the requests are split between services; none when this version cannot read the route, so that
+   * its requests are refused.
+   */
   readonly targets: readonly RouteTarget[];
 }
 
+/** Result of a search for the route of a request. */
+export type HostRouteMatch =
+  | { readonly kind: 'found'; readonly route: Route }
+  /** The route exists, but this version cannot read it. */
+  | { readonly kind: 'unsupported' }
+  | { readonly kind: 'unknown' };
+
 /** Routing table by host name; the longest matching path prefix wins. */
 export class HostRouteTable {
   readonly #byHost = new Map<string, HostRoute[]>();
@@ -37,13 +47,16 @@
    * @param host - `Host` header as received; case and port are ignored.
    * @param target - Path and query as received.
    * @param draw - Returns a random number in [0, 1).
-   * @returns Undefined when no route matches.
    */
-  match(host: string, target: string, draw: () => number): Route | undefined {
+  match(host: string, target: string, draw: () => number): HostRouteMatch {
     const { path } = splitTarget(target);
     const routes = this.#byHost.get(toHostKey(host)) ?? [];
     const found = routes.find(({ pathPrefix }) => path.startsWith(pathPrefix));
-    return found === undefined ? undefined : pickTarget(found.targets, draw);
+    if (found === undefined) {
+      return { kind: 'unknown' };
+    }
+    const route = pickTarget(found.targets, draw);
+    return route === undefined ? { kind: 'unsupported' } : { kind: 'found', route };
   }
 }
 
--- a/packages/bundle/src/version/Bundle.ts
+++ b/packages/bundle/src/version/Bundle.ts
@@ -14,6 +14,8 @@
   readonly workspaces: ReadonlyMap<string, Workspace>;
   /** Workspace name by the digest of a caller key (lower-case hexadecimal). */
   readonly workspaceByKeyDigest: ReadonlyMap<string, string>;
+  /** Digests of caller keys of workspaces that this version cannot read; their requests are refused. */
+  readonly unsupportedKeyDigests?: ReadonlySet<string>;
   /** Name of the workspace to which requests without a key on open routes are attributed. */
   readonly openWorkspace: string | undefined;
   readonly services: ReadonlyMap<string, Service>;
--- a/packages/core/src/request/calls/InboundCallHandler.ts
+++ b/packages/core/src/request/calls/InboundCallHandler.ts
@@ -3,7 +3,7 @@
 import type { NodeServices } from '../../process/node/NodeServices.js';
 import type { DeduplicationState } from '../../process/deduplication/index.js';
 import { computeRetryAfter } from '../computeRetryAfter.js';
-import { createRefusal, type Refusal, type RefusalReason } from '../refusals.js';
+import { createRefusal, isRefusalReason, type Refusal, type RefusalReason } from '../refusals.js';
 import { acceptOpenCall, type AcceptedCall, type DeduplicationKey } from './acceptOpenCall.js';
 import { AttemptAllowance } from './AttemptAllowance.js';
 import type { BackendRuns } from './BackendRuns.js';
@@ -17,6 +17,9 @@
 /** Base of the jittered `retry-after` of a refused call, in milliseconds. */
 const RETRY_AFTER_MS = 500;
 
+/** Refusal reason that replaces one of the sender which this version does not know. */
+const UNKNOWN_REASON: RefusalReason = 'vmUnreachable';
+
 /** Refusal reasons for a repeat, by the state in the deduplication table. */
 const REPEAT_REASONS: Readonly<
   Record<Exclude<DeduplicationState['kind'], 'new' | 'answered'>, RefusalReason>
@@ -177,7 +180,7 @@
 
   #findRefusal(frame: OpenCall): RefusalReason | undefined {
     if (frame.refuseReason !== '') {
-      return frame.refuseReason as RefusalReason;
+      return isRefusalReason(frame.refuseReason) ? frame.refuseReason : UNKNOWN_REASON;
     }
     if (this.#services.isLeaving()) {
       return 'leaving';
--- a/packages/core/src/request/calls/OutboundCallHandler.ts
+++ b/packages/core/src/request/calls/OutboundCallHandler.ts
@@ -5,7 +5,7 @@
 import type * as backpressure from '../../process/backpressure/index.js';
 import type { NodeServices } from '../../process/node/NodeServices.js';
 import { computeRetryAfter } from '../computeRetryAfter.js';
-import { createRefusal, type Refusal, type RefusalReason } from '../refusals.js';
+import { createRefusal, REFUSALS, type Refusal, type RefusalReason } from '../refusals.js';
 import { admitCaller, type AdmittedRequest } from './admitCaller.js';
 import { admitEgress } from './admitEgress.js';
 import type { AttemptSender } from './AttemptSender.js';
@@ -23,6 +23,12 @@
 /** Base of the jittered `retry-after` that a node without a bundle sends, in milliseconds. */
 const STARTING_RETRY_MS = 500;
 
+/**
+ * Base of the jittered `retry-after` of a request that the active bundle does not support, in milliseconds; long, because
+ * only another version of the configuration or of the node changes that.
+ */
+const UNSUPPORTED_RETRY_MS = 5_000;
+
 /** Parts of the outbound side of a node. */
 export interface OutboundParts {
   readonly table: OutboundCallTable;
@@ -63,7 +69,7 @@
     }
     admitCaller(bundle, request, () => this.#services.random.next()).match({
       Ok: (admitted) => this.#startCallerCall(bundle, request, admitted, nowMs),
-      Err: (refusal) => this.#refuseRequest(request, refusal),
+      Err: (refusal) => this.#refuseRequest(request, this.#addRetryAfter(refusal)),
     });
   }
 
@@ -316,6 +322,14 @@
     const retryAfterMs = computeRetryAfter(STARTING_RETRY_MS, this.#services.random);
     return createRefusal('starting', { retryAfterMs });
   }
+
+  #addRetryAfter(refusal: Refusal): Refusal {
+    if (!REFUSALS[refusal.reason].retryAfter) {
+      return refusal;
+    }
+    const retryAfterMs = computeRetryAfter(UNSUPPORTED_RETRY_MS, this.#services.random);
+    return { retryAfterMs, ...refusal };
+  }
 }
 
 /**
--- a/packages/core/src/request/calls/admitCaller.ts
+++ b/packages/core/src/request/calls/admitCaller.ts
@@ -54,27 +54,7 @@
   request: ReceivedRequest,
   draw: () => number,
 ): Result<AdmittedRequest, Refusal> {
-  const matched = findRoute(bundle, request, draw);
-  if (matched === undefined) {
-    return Result.err(createRefusal('routeUnknown'));
-  }
-  const { route, target, headers: added } = matched;
-  const forwarded = identity.selectForwardedHeaders(request.headers);
-  return identity.identifyWorkspace(bundle, request.headers, route).andThen((caller) =>
-    checkContent(request, route, forwarded)
-      .andThen(() => identity.readDeadline(bundle.fleet, request.headers))
-      .andThen((remainingMs) =>
-        readIdempotencyKey(request, route).map((idempotencyKey) => ({
-          route,
-          target,
-          headers: forwarded.concat(added),
-          remainingMs: Math.min(remainingMs, route.timeoutMs ?? remainingMs),
-          ...caller,
-          ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
-          ...readAttemptId(request),
-        })),
-      ),
-  );
+  return findRoute(bundle, request, draw).andThen((found) => checkRequest(bundle, request, found));
 }
 
 /**
@@ -98,23 +78,53 @@
   return Result.ok(true as const);
 }
 
+function checkRequest(
+  bundle: Bundle,
+  request: ReceivedRequest,
+  { route, target, headers: added }: FoundRoute,
+): Result<AdmittedRequest, Refusal> {
+  const forwarded = identity.selectForwardedHeaders(request.headers);
+  return identity.identifyWorkspace(bundle, request.headers, route).andThen((caller) =>
+    checkContent(request, route, forwarded)
+      .andThen(() => identity.readDeadline(bundle.fleet, request.headers))
+      .andThen((remainingMs) =>
+        readIdempotencyKey(request, route).map((idempotencyKey) => ({
+          route,
+          target,
+          headers: forwarded.concat(added),
+          remainingMs: Math.min(remainingMs, route.timeoutMs ?? remainingMs),
+          ...caller,
+          ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
+          ...readAttemptId(request),
+        })),
+      ),
+  );
+}
+
 function findRoute(
   bundle: Bundle,
   { method, target, headers }: ReceivedRequest,
   draw: () => number,
-): FoundRoute | undefined {
+): Result<FoundRoute, Refusal> {
   if (bundle.hostRoutes === undefined) {
     const matched = matchRoute(bundle, method, target);
     return matched === undefined
-      ? undefined
-      : { route: matched.route, target: matched.backendTarget, headers: [] };
+      ? Result.err(createRefusal('routeUnknown'))
+      : Result.ok({ route: matched.route, target: matched.backendTarget, headers: [] });
   }
   const host = identity.readHeader(headers, 'host');
-  const route =
-    host.kind === 'present' ? bundle.hostRoutes.match(host.value, target, draw) : undefined;
-  return host.kind !== 'present' || route === undefined
-    ? undefined
-    : { route, target, headers: [[HOST_HEADER, host.value]] };
+  if (host.kind !== 'present') {
+    return Result.err(createRefusal('routeUnknown'));
+  }
+  const matched = bundle.hostRoutes.match(host.value, target, draw);
+  if (matched.kind === 'found') {
+    return Result.ok({ route: matched.route, target, headers: [[HOST_HEADER, host.value]] });
+  }
+  return Result.err(
+    createRefusal(matched.kind === 'unsupported' ? 'configurationUnsupported' : 'routeUnknown', {
+      detail: 'route',
+    }),
+  );
 }
 
 function readIdempotencyKey(
--- a/packages/core/src/request/calls/decodeRefusal.ts
+++ b/packages/core/src/request/calls/decodeRefusal.ts
@@ -1,5 +1,5 @@
 import type { Refused } from '@tanagerpond/wire';
-import { createRefusal, REFUSALS, type Refusal, type RefusalReason } from '../refusals.js';
+import { createRefusal, isRefusalReason, type Refusal } from '../refusals.js';
 import { decodeOutcome } from './decodeOutcome.js';
 
 /**
@@ -7,7 +7,7 @@
  * @param refused - Frame of the peer.
  */
 export function decodeRefusal(refused: Refused): Refusal {
-  const reason = refused.reason in REFUSALS ? (refused.reason as RefusalReason) : 'backendFailed';
+  const reason = isRefusalReason(refused.reason) ? refused.reason : 'backendFailed';
   const outcome = decodeOutcome(refused.outcome);
   return refused.retryAfterMs > 0
     ? createRefusal(reason, { outcome, retryAfterMs: refused.retryAfterMs })
--- a/packages/core/src/request/identity/identifyWorkspace.ts
+++ b/packages/core/src/request/identity/identifyWorkspace.ts
@@ -19,7 +19,8 @@
  * @param bundle - Active bundle.
  * @param headers - Headers with lower-case names.
  * @param route - Route of the request.
- * @returns The identity, or the refusal `headerMalformed`, `keyMissing` or `keyUnknown`.
+ * @returns The identity, or the refusal `headerMalformed`, `keyMissing`, `keyUnknown` or
+ * `configurationUnsupported`.
  */
 export function identifyWorkspace(
   bundle: Bundle,
@@ -40,10 +41,16 @@
   const keyDigest = digestKey(key);
   const workspace = bundle.workspaceByKeyDigest.get(keyDigest);
   return workspace === undefined
-    ? Result.err(createRefusal('keyUnknown'))
+    ? Result.err(refuseKey(bundle, keyDigest))
     : Result.ok({ workspace, keyDigest });
 }
 
+function refuseKey({ unsupportedKeyDigests }: Bundle, keyDigest: string): Refusal {
+  return unsupportedKeyDigests?.has(keyDigest) === true
+    ? createRefusal('configurationUnsupported', { detail: 'workspace' })
+    : createRefusal('keyUnknown');
+}
+
 function identifyOpen(bundle: Bundle, route: Route): Result<Identity, Refusal> {
   if (!route.open || bundle.openWorkspace === undefined) {
     return Result.err(createRefusal('keyMissing', { detail: 'authorization' }));
--- a/packages/core/src/request/refusals.ts
+++ b/packages/core/src/request/refusals.ts
@@ -18,6 +18,7 @@
   headerMalformed: { status: 400, outcome: 'notRun', retryAfter: false },
   requestMalformed: { status: 400, outcome: 'notRun', retryAfter: false },
   routeUnknown: { status: 404, outcome: 'notRun', retryAfter: false },
+  configurationUnsupported: { status: 503, outcome: 'notRun', retryAfter: true },
   bodyTooLarge: { status: 413, outcome: 'notRun', retryAfter: false },
   answerTooLarge: { status: 502, outcome: 'unknown', retryAfter: false },
   buffersFull: { status: 503, outcome: 'notRun', retryAfter: true },
@@ -61,6 +62,14 @@
   readonly detail?: string;
 }
 
+/**
+ * Returns whether a text is the name of a refusal reason of this version.
+ * @param text - Reason as received from a peer.
+ */
+export function isRefusalReason(text: string): text is RefusalReason {
+  return Object.hasOwn(REFUSALS, text);
+}
+
 /**
  * Creates a refusal with the outcome that `REFUSALS` gives for its reason, unless `extra` overrides it.
  * @param reason - Entry of `REFUSALS`.
