Let two nodes per failure domain watch the source, and pass its changes on between peers

In fleets of more than 24 VMs, two nodes per failure domain, chosen by rendezvous hashing, watch the store. The others get the changes from peers by gossip, with the age of the documents; a node that hears of no watcher for 5 s tries the store itself, at a random time that keeps the calls of the whole fleet to 20 a second. Documents are merged item by item, by revision, so that peers send changes and not the whole list (50 KB at 195 entries), and an older change or a stale list cannot bring a removed entry back.

--- a/packages/core/src/process/documents/DocumentRelay.ts
+++ b/packages/core/src/process/documents/DocumentRelay.ts
@@ -1,8 +1,11 @@
 import { create } from '@bufbuild/protobuf';
-import { DocumentRequestSchema, DocumentSchema, type DocumentRequest } from '@tanagerpond/wire';
+import { DocumentRequestSchema, type Document, type DocumentRequest } from '@tanagerpond/wire';
 import type { Outbox } from '../node/Outbox.js';
 import type { RandomSource } from '../time/index.js';
-import type { PublishedDocument } from './PublishedDocument.js';
+import { decodeDocument, encodeDocument } from './documentFrames.js';
+import type { DocumentUpdate } from './DocumentUpdate.js';
+import { KeyedDocument } from './KeyedDocument.js';
+import type { SourceWatchScheduler } from './SourceWatchScheduler.js';
 
 /** Time without an answer of the source after which peers are asked more often; longer than one slow answer. */
 const SOURCE_SILENCE_MS = 500;
@@ -16,12 +19,15 @@
  */
 const COMPARE_INTERVAL_MS = 500;
 
-/** Number of peers that a new document is announced to. */
+/** Number of peers that a new revision is announced to. */
 const ANNOUNCED_PEERS = 3;
 
-/** Time that a node waits for its own source before it requests a newer document from the peer that has it. */
+/** Time that a node that watches the source waits for it before it requests a newer revision from a peer. */
 const SOURCE_WAIT_MS = 150;
 
+/** Time that a node waits for requested changes before it requests them from another peer, in milliseconds. */
+const REQUEST_TIMEOUT_MS = 250;
+
 /** Maximum number of stored documents; a source publishes two. */
 const MAX_DOCUMENTS = 16;
 
@@ -31,18 +37,20 @@
   readonly random: RandomSource;
   /** Lists the peers that may be asked: the linked ones, or other known ones if no peer is linked. */
   readonly listPeers: () => readonly string[];
+  /** Decides whether this node watches the source. */
+  readonly scheduler: SourceWatchScheduler;
 }
 
 /**
- * Distributes published documents between peers by gossip, for nodes that cannot reach the source. Every node
- * periodically compares revisions with one random peer, more often while its source does not answer. A node with a new
- * document announces its revision to a few peers. A peer whose own source does not deliver that revision soon, for
- * example because its connection has stalled, requests the document from the announcing node.
+ * Distributes published documents between peers by gossip, for nodes that do not watch the source or cannot reach it.
+ * Every node periodically compares revisions with one random peer, more often while its source does not answer. A node
+ * with a new revision announces it to a few peers. A peer requests the changes from the announcing node, unless its own
+ * source delivers them soon.
  */
 export class DocumentRelay {
   readonly #options: DocumentRelayOptions;
 
-  readonly #documents = new Map<string, PublishedDocument>();
+  readonly #documents = new Map<string, KeyedDocument>();
 
   #isReachable = true;
 
@@ -53,8 +61,11 @@
   /** Newer revisions that peers have, by document, and when this node first learned of them. */
   readonly #newerRevisions = new Map<string, { peer: string; revision: number; sinceMs: number }>();
 
+  /** Time of the last request for a newer revision, by document. */
+  readonly #fetchedMs = new Map<string, number>();
+
   /**
-   * @param options - Outbox, random source and peers that may be asked.
+   * @param options - Outbox, random source, scheduler and peers that may be asked.
    * @param startedMs - Monotonic time of the start, in milliseconds.
    */
   constructor(options: DocumentRelayOptions, startedMs: number) {
@@ -63,12 +74,13 @@
   }
 
   /**
-   * Stores a document that the node's own source published, and announces it if it is new.
-   * @param document - The document.
+   * Merges what the node's own source published, and announces it if it is new.
+   * @param update - Changes, or all items.
+   * @param nowMs - Monotonic time, in milliseconds.
    */
-  recordRead(document: PublishedDocument): void {
-    if (this.#add(document)) {
-      this.#announce();
+  recordRead(update: DocumentUpdate, nowMs: number): void {
+    if (this.#merge(update)) {
+      this.#announce(nowMs);
     }
   }
 
@@ -78,6 +90,7 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   recordSource(reachable: boolean, nowMs: number): void {
+    this.#options.scheduler.recordSource(reachable);
     if (reachable !== this.#isReachable) {
       this.#isReachable = reachable;
       this.#changedMs = nowMs;
@@ -85,49 +98,58 @@
   }
 
   /**
-   * Answers a peer with the documents that it lacks or has in an older revision, and records which newer revisions it
-   * has.
+   * Answers a peer with the changes that it lacks, and records which newer revisions it has.
    * @param peer - VM that sent the request.
-   * @param request - Revisions that the peer has.
+   * @param request - Revisions that the peer has, and their age.
    * @param nowMs - Monotonic time, in milliseconds.
    */
   answer(peer: string, request: DocumentRequest, nowMs: number): void {
+    this.#options.scheduler.recordPeerAge(request.ageMs, nowMs);
     const held = new Map(request.held.map(({ name, revision }) => [name, revision]));
     held.forEach((revision, name) => this.#recordPeerRevision(peer, name, revision, nowMs));
-    [...this.#documents.values()]
-      .filter(({ name, revision }) => revision > (held.get(name) ?? Number.NEGATIVE_INFINITY))
-      .forEach((document) => {
-        const value = create(DocumentSchema, document);
+    this.#documents.forEach((document, name) => {
+      const revision = held.get(name);
+      if (document.revision > (revision ?? Number.NEGATIVE_INFINITY)) {
+        const value = encodeDocument(document.createUpdate(name, revision));
         this.#options.outbox.sendReply(peer, { case: 'document', value });
-      });
+      }
+    });
+    this.#requestNewerRevisions(nowMs);
   }
 
   /**
-   * Handles a document from a peer. A new one is stored, passed to the host and announced to other peers.
-   * @param document - The document.
+   * Handles changes from a peer. New ones are merged, passed to the host and announced to other peers.
+   * @param frame - Frame of the peer.
+   * @param nowMs - Monotonic time, in milliseconds.
    */
-  receive({ name, revision, content }: PublishedDocument): void {
-    const document = { name, revision, content };
-    if (this.#add(document)) {
-      this.#options.outbox.add({ kind: 'documentReceived', document });
-      this.#announce();
+  receive(frame: Document, nowMs: number): void {
+    const update = decodeDocument(frame);
+    if (this.#merge(update)) {
+      this.#options.outbox.add({ kind: 'documentReceived', update });
+      this.#announce(nowMs);
     }
   }
 
   /**
-   * Requests newer revisions whose wait is over, and compares revisions with a peer when it is due. Call on every tick.
+   * Decides whether to watch the source, requests newer revisions whose wait is over, and compares revisions with a peer
+   * when it is due. Call on every tick.
    * @param nowMs - Monotonic time, in milliseconds.
    */
   advance(nowMs: number): void {
+    const decision = this.#options.scheduler.advance(nowMs);
+    if (decision !== undefined) {
+      this.#options.outbox.add({ kind: 'watchService', enabled: decision });
+    }
     this.#requestNewerRevisions(nowMs);
-    const isSourceSilent = !this.#isReachable && nowMs - this.#changedMs >= SOURCE_SILENCE_MS;
+    const isMissed = this.#options.scheduler.isWatching && !this.#isReachable;
+    const isSourceSilent = isMissed && nowMs - this.#changedMs >= SOURCE_SILENCE_MS;
     const intervalMs = isSourceSilent ? SILENT_SOURCE_INTERVAL_MS : COMPARE_INTERVAL_MS;
     const hasSource = this.#documents.size > 0 || !this.#isReachable;
     if (!hasSource || nowMs - this.#requestedMs < intervalMs) {
       return;
     }
     this.#requestedMs = nowMs;
-    this.#pickPeers(1).forEach((peer) => this.#request(peer));
+    this.#pickPeers(1).forEach((peer) => this.#request(peer, nowMs));
   }
 
   /**
@@ -135,27 +157,31 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   snapshot(nowMs: number): object {
+    const { scheduler } = this.#options;
     return {
       sourceReachable: this.#isReachable,
       sinceMs: nowMs - this.#changedMs,
-      documents: [...this.#documents.values()].map(({ name, revision, content }) => ({
+      watching: scheduler.isWatching,
+      ageMs: scheduler.measureAge(nowMs),
+      documents: [...this.#documents].map(([name, { revision, size }]) => ({
         name,
         revision,
-        length: content.length,
+        items: size,
       })),
     };
   }
 
   /**
-   * Sends requests, which list the revisions that this node has, so that a peer with an older one requests the new one.
+   * Sends requests, which list the revisions that this node has, so that a peer with an older one requests the changes.
    */
-  #announce(): void {
-    this.#pickPeers(ANNOUNCED_PEERS).forEach((peer) => this.#request(peer));
+  #announce(nowMs: number): void {
+    this.#pickPeers(ANNOUNCED_PEERS).forEach((peer) => this.#request(peer, nowMs));
   }
 
-  #request(peer: string): void {
-    const held = [...this.#documents.values()].map(({ name, revision }) => ({ name, revision }));
-    const value = create(DocumentRequestSchema, { held });
+  #request(peer: string, nowMs: number): void {
+    const held = [...this.#documents].map(([name, { revision }]) => ({ name, revision }));
+    const ageMs = this.#options.scheduler.measureAge(nowMs);
+    const value = create(DocumentRequestSchema, { held, ageMs });
     this.#options.outbox.sendRequest(peer, { case: 'documentRequest', value });
   }
 
@@ -176,12 +202,15 @@
   }
 
   #requestNewerRevisions(nowMs: number): void {
+    const waitMs = this.#options.scheduler.isWatching ? SOURCE_WAIT_MS : 0;
     this.#newerRevisions.forEach(({ peer, revision, sinceMs }, name) => {
+      const fetchedMs = this.#fetchedMs.get(name) ?? Number.NEGATIVE_INFINITY;
       if (revision <= this.#readRevision(name)) {
         this.#newerRevisions.delete(name);
-      } else if (nowMs - sinceMs >= SOURCE_WAIT_MS) {
+      } else if (nowMs - sinceMs >= waitMs && nowMs - fetchedMs >= REQUEST_TIMEOUT_MS) {
         this.#newerRevisions.delete(name);
-        this.#request(peer);
+        this.#fetchedMs.set(name, nowMs);
+        this.#request(peer, nowMs);
       }
     });
   }
@@ -194,12 +223,18 @@
     return this.#documents.has(name) || this.#documents.size < MAX_DOCUMENTS;
   }
 
-  #add(document: PublishedDocument): boolean {
-    const isNew = document.revision > this.#readRevision(document.name);
-    if (!isNew || !this.#hasRoom(document.name)) {
+  /** Merges an update, and returns whether it has a newer revision. */
+  #merge(update: DocumentUpdate): boolean {
+    if (!this.#hasRoom(update.name)) {
+      return false;
+    }
+    const document = this.#documents.get(update.name) ?? new KeyedDocument();
+    const earlier = document.revision;
+    if (document.apply(update) === undefined) {
       return false;
     }
-    this.#documents.set(document.name, document);
-    return true;
+    this.#documents.set(update.name, document);
+    this.#fetchedMs.delete(update.name);
+    return document.revision > earlier;
   }
 }
--- /dev/null
+++ b/packages/core/src/process/documents/KeyedDocument.ts
@@ -0,0 +1,93 @@
+import type { DocumentUpdate, PublishedItem } from './DocumentUpdate.js';
+
+/** Maximum number of removed items that are remembered; beyond it, a peer that lags behind gets all items. */
+const MAX_TOMBSTONES = 1_000;
+
+/**
+ * Items of a document by key, merged from updates in any order: for each item, the change with the highest revision counts.
+ * Removed items are remembered for a while, so that peers can be sent the changes since their revision instead of all
+ * items.
+ */
+export class KeyedDocument {
+  readonly #items = new Map<string, PublishedItem>();
+
+  #revision = Number.NEGATIVE_INFINITY;
+
+  /** Every change up to this revision is merged, and removals up to it are no longer remembered. */
+  #floor = Number.NEGATIVE_INFINITY;
+
+  /** Revision of the newest change; negative infinity before the first update. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Number of items, removed ones not included. */
+  get size(): number {
+    return this.#listLive().length;
+  }
+
+  /**
+   * Merges an update.
+   * @param update - Changes, or all items.
+   * @returns The changes that took effect; undefined when the update is older than this document or does not connect to
+   * it.
+   */
+  apply(update: DocumentUpdate): readonly PublishedItem[] | undefined {
+    const { since, revision, asOf = revision } = update;
+    const connects = since === undefined ? asOf >= this.#revision : since <= this.#revision;
+    if (!connects) {
+      return undefined;
+    }
+    const removals = since === undefined ? this.#findMissing(update.items, asOf) : [];
+    const changes = [...update.items.filter((item) => this.#isNewer(item)), ...removals];
+    changes.forEach((item) => this.#items.set(item.key, item));
+    this.#revision = Math.max(this.#revision, revision, ...changes.map((item) => item.revision));
+    if (since === undefined) {
+      this.#floor = Math.max(this.#floor, revision);
+    }
+    this.#dropTombstones();
+    return changes;
+  }
+
+  /**
+   * Creates the update for a peer.
+   * @param name - Name of the document.
+   * @param held - Revision that the peer has; undefined when it has none.
+   */
+  createUpdate(name: string, held: number | undefined): DocumentUpdate {
+    if (held === undefined || held < this.#floor) {
+      return { name, revision: this.#revision, items: this.#listLive() };
+    }
+    const items = [...this.#items.values()].filter(({ revision }) => revision > held);
+    return { name, revision: this.#revision, since: held, items };
+  }
+
+  #isNewer({ key, revision }: PublishedItem): boolean {
+    const known = this.#items.get(key);
+    return known === undefined ? revision > this.#floor : revision > known.revision;
+  }
+
+  /** Lists removals of the items that all items of the source at a revision do not include. */
+  #findMissing(items: readonly PublishedItem[], asOf: number): readonly PublishedItem[] {
+    const present = new Set(items.map(({ key }) => key));
+    return this.#listLive()
+      .filter(({ key, revision }) => revision <= asOf && !present.has(key))
+      .map(({ key }) => ({ key, revision: asOf }));
+  }
+
+  #listLive(): readonly PublishedItem[] {
+    return [...this.#items.values()].filter(({ value }) => value !== undefined);
+  }
+
+  #dropTombstones(): void {
+    const tombstones = [...this.#items.values()].filter(({ value }) => value === undefined);
+    if (tombstones.length <= MAX_TOMBSTONES) {
+      return;
+    }
+    const ordered = tombstones.sort((left, right) => left.revision - right.revision);
+    ordered.slice(0, -MAX_TOMBSTONES).forEach(({ key, revision }) => {
+      this.#items.delete(key);
+      this.#floor = Math.max(this.#floor, revision);
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/src/process/documents/SourceWatchScheduler.ts
@@ -0,0 +1,177 @@
+import { listByRendezvous, type Membership, type VmIdentity } from '../membership/index.js';
+import type { RandomSource } from '../time/index.js';
+
+/** Nodes per failure domain that watch the source; the others rely on their peers. */
+const WATCHERS_PER_DOMAIN = 2;
+
+/** Up to this number of VMs every node watches the source, because a few watchers could all be cut off from it. */
+const SMALL_FLEET = 24;
+
+/** Time without a change of the number of listed VMs after which a starting node decides, in milliseconds. */
+const SETTLE_MS = 1_000;
+
+/** Age of the documents after which a node watches the source itself, in milliseconds. */
+const MAX_AGE_MS = 5_000;
+
+/**
+ * Time between the reads of two nodes that no longer hear from a watcher, in milliseconds, so that a whole fleet does not
+ * call the source at once.
+ */
+const FALLBACK_GAP_MS = 50;
+
+/** Time for which such a node tries to reach the source, and for which it watches a source that answers, in milliseconds. */
+const FALLBACK_TRY_MS = 1_500;
+const FALLBACK_WATCH_MS = 10_000;
+
+/** Interval at which the ranking is checked although the list is the same, in milliseconds. */
+const RANK_CHECK_MS = 2_000;
+
+/** Options of a scheduler. */
+export interface SourceWatchSchedulerOptions {
+  readonly self: VmIdentity;
+  readonly membership: Membership;
+  readonly random: RandomSource;
+  /** Monotonic time of the start, in milliseconds. */
+  readonly startedMs: number;
+}
+
+/**
+ * Decides whether this node watches the source of the documents. In a large fleet, two nodes per failure domain do, chosen
+ * by rendezvous hashing. The others get the documents from peers, together with their age, and watch the source themselves
+ * when the age shows that no watcher is heard from any more.
+ */
+export class SourceWatchScheduler {
+  readonly #options: SourceWatchSchedulerOptions;
+
+  #isWatching: boolean | undefined;
+
+  #isReachable = true;
+
+  /** Time at which the documents were last known to be current, by a peer or by the own source. */
+  #confirmedMs: number;
+
+  #listSize = 0;
+
+  #listSizeMs: number;
+
+  #rankedMs = Number.NEGATIVE_INFINITY;
+
+  #isRanked = false;
+
+  /** Time at which this node begins to watch because no watcher is heard from. */
+  #fallbackFromMs: number | undefined;
+
+  /** @param options - Own VM, list of VMs, random source and time of the start. */
+  constructor(options: SourceWatchSchedulerOptions) {
+    this.#options = options;
+    this.#confirmedMs = options.startedMs;
+    this.#listSizeMs = options.startedMs;
+  }
+
+  /** Whether this node watches the source, or has not decided yet. */
+  get isWatching(): boolean {
+    return this.#isWatching !== false;
+  }
+
+  /**
+   * Records whether the source answers this node.
+   * @param reachable - True after an answer, false after a failed request.
+   */
+  recordSource(reachable: boolean): void {
+    this.#isReachable = reachable;
+  }
+
+  /**
+   * Records the age of a peer's documents.
+   * @param ageMs - Time since they were known to be current, in milliseconds.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  recordPeerAge(ageMs: number, nowMs: number): void {
+    if (ageMs >= 0) {
+      this.#confirmedMs = Math.max(this.#confirmedMs, nowMs - ageMs);
+    }
+  }
+
+  /**
+   * Measures the time since the documents of this node were known to be current, in milliseconds.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  measureAge(nowMs: number): number {
+    return nowMs - this.#confirmedMs;
+  }
+
+  /**
+   * Decides anew.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @returns Whether to watch the source from now on; undefined when the decision is the same as before.
+   */
+  advance(nowMs: number): boolean | undefined {
+    if (this.#isWatching === true && this.#isReachable) {
+      this.#confirmedMs = nowMs;
+    }
+    if (this.#isWatching === undefined && !this.#isSettled(nowMs)) {
+      return undefined;
+    }
+    const isWatching = this.#isWatcher(nowMs) || this.#isFallback(nowMs);
+    if (isWatching === this.#isWatching) {
+      return undefined;
+    }
+    if (isWatching && this.#isWatching === false) {
+      this.#isReachable = false;
+    }
+    this.#isWatching = isWatching;
+    return isWatching;
+  }
+
+  #isSettled(nowMs: number): boolean {
+    const { size } = this.#options.membership;
+    if (size !== this.#listSize) {
+      this.#listSize = size;
+      this.#listSizeMs = nowMs;
+    }
+    return size > 0 && nowMs - this.#listSizeMs >= SETTLE_MS;
+  }
+
+  #isWatcher(nowMs: number): boolean {
+    if (nowMs - this.#rankedMs >= RANK_CHECK_MS) {
+      this.#rankedMs = nowMs;
+      this.#isRanked = this.#computeRanked();
+    }
+    return this.#isRanked;
+  }
+
+  #computeRanked(): boolean {
+    const { membership, self } = this.#options;
+    if (membership.size <= SMALL_FLEET) {
+      return true;
+    }
+    const present = membership
+      .findByFailureDomain(self.failureDomain)
+      .map(({ name }) => name)
+      .filter((name) => !membership.isLeaving(name));
+    const ranked = listByRendezvous(`source/${self.failureDomain}`, present);
+    const rank = ranked.indexOf(self.name);
+    return rank >= 0 && rank < WATCHERS_PER_DOMAIN;
+  }
+
+  /** Returns whether this node watches because it has not heard from a watcher for long; such a watch has an end. */
+  #isFallback(nowMs: number): boolean {
+    const isStale = nowMs - this.#confirmedMs >= MAX_AGE_MS;
+    this.#fallbackFromMs ??= isStale ? nowMs + this.#drawDelay() : undefined;
+    if (this.#fallbackFromMs === undefined) {
+      return false;
+    }
+    const triedMs = nowMs - this.#fallbackFromMs;
+    const limitMs = this.#isReachable ? FALLBACK_WATCH_MS : FALLBACK_TRY_MS;
+    if ((triedMs < 0 && !isStale) || triedMs >= limitMs) {
+      this.#fallbackFromMs = undefined;
+      return false;
+    }
+    return triedMs >= 0;
+  }
+
+  #drawDelay(): number {
+    const { membership, random } = this.#options;
+    return membership.size * FALLBACK_GAP_MS * random.next();
+  }
+}
--- a/packages/core/src/process/documents/index.ts
+++ b/packages/core/src/process/documents/index.ts
@@ -1,2 +1,4 @@
 export * from './DocumentRelay.js';
-export type * from './PublishedDocument.js';
+export type * from './DocumentUpdate.js';
+export * from './KeyedDocument.js';
+export * from './SourceWatchScheduler.js';
--- a/packages/core/src/process/node/FrameDispatcher.ts
+++ b/packages/core/src/process/node/FrameDispatcher.ts
@@ -117,7 +117,10 @@
         direction: 'inbound',
         handle: (value, { peer }, nowMs) => relay.answer(peer, value, nowMs),
       },
-      document: { direction: 'outbound', handle: (value) => relay.receive(value) },
+      document: {
+        direction: 'outbound',
+        handle: (value, _message, nowMs) => relay.receive(value, nowMs),
+      },
       shareRequest: {
         direction: 'inbound',
         handle: (_value, from, nowMs) => this.#receiveShareFrame(from, nowMs),
--- a/packages/core/src/process/node/NodeCommand.ts
+++ b/packages/core/src/process/node/NodeCommand.ts
@@ -1,6 +1,6 @@
 import type { Frame } from '@tanagerpond/wire';
 import type { Refusal } from '../../request/index.js';
-import type { PublishedDocument } from '../documents/index.js';
+import type { DocumentUpdate } from '../documents/index.js';
 import type { DecisionBasis } from './DecisionBasis.js';
 import type { HeaderPair } from './NodeMessage.js';
 
@@ -63,10 +63,10 @@
   | { readonly kind: 'keepBody'; readonly from: string; readonly to: string }
   /** Reads the configuration service once. */
   | { readonly kind: 'readService' }
-  /** Starts or stops watching the configuration service. */
+  /** Starts or stops watching the configuration service, or the source of unsigned documents. */
   | { readonly kind: 'watchService'; readonly enabled: boolean }
-  /** Hands over a document from a peer that is newer than the one from this node's own source. */
-  | { readonly kind: 'documentReceived'; readonly document: PublishedDocument }
+  /** Hands over changes from a peer that are newer than those from this node's own source. */
+  | { readonly kind: 'documentReceived'; readonly update: DocumentUpdate }
   /** The drain has ended, because all calls are done or its time limit has passed; the process may exit. */
   | { readonly kind: 'drained' }
   /** Writes a log line. */
--- a/packages/core/src/process/node/NodeMessage.ts
+++ b/packages/core/src/process/node/NodeMessage.ts
@@ -1,6 +1,6 @@
 import type { Frame } from '@tanagerpond/wire';
 import type { Bundle } from '@tanagerpond/bundle';
-import type { PublishedDocument } from '../documents/index.js';
+import type { DocumentUpdate } from '../documents/index.js';
 import type { VmRecord } from '../membership/index.js';
 
 /** Header name in lower case and header value; lists of headers keep the order of arrival. */
@@ -101,8 +101,8 @@
     }
   /** The source has confirmed that the list of VMs is unchanged. */
   | { readonly kind: 'listConfirmed' }
-  /** The node's own source published a document, which peers may request. */
-  | { readonly kind: 'documentRead'; readonly document: PublishedDocument }
+  /** The node's own source published changes of a document, which peers may request. */
+  | { readonly kind: 'documentRead'; readonly update: DocumentUpdate }
   /** The source of published documents became reachable or unreachable. */
   | { readonly kind: 'sourceChanged'; readonly reachable: boolean }
   /** A planned stop of the process was requested. */
--- a/packages/core/src/process/node/NodeStateMachine.ts
+++ b/packages/core/src/process/node/NodeStateMachine.ts
@@ -80,9 +80,16 @@
       trustedKeys: options.trustedKeys,
       startedMs: options.startedMs,
     });
+    const { self, random, startedMs } = options;
+    const { membership } = this.#services;
     this.#documents = new documents.DocumentRelay(
-      { outbox, random: options.random, listPeers: () => this.#listPeers(options.seeds ?? []) },
-      options.startedMs,
+      {
+        outbox,
+        random,
+        listPeers: () => this.#listPeers(options.seeds ?? []),
+        scheduler: new documents.SourceWatchScheduler({ self, membership, random, startedMs }),
+      },
+      startedMs,
     );
     this.#frames = new FrameDispatcher({
       documents: this.#documents,
@@ -183,7 +190,7 @@
       serviceUnavailable: () => this.#services.counters.count('serviceUnavailable'),
       vmsListed: (message, nowMs) => this.#handleList(message, nowMs),
       listConfirmed: (_message, nowMs) => this.#services.membership.recordListConfirmed(nowMs),
-      documentRead: ({ document }) => this.#documents.recordRead(document),
+      documentRead: ({ update }, nowMs) => this.#documents.recordRead(update, nowMs),
       sourceChanged: ({ reachable }, nowMs) => this.#documents.recordSource(reachable, nowMs),
       drainRequested: (_message, nowMs) => this.#drain.startDrain(nowMs),
       tick: (_message, nowMs) => this.#advance(nowMs),
@@ -209,8 +216,9 @@
     this.#applyShares(this.#services.rateLimiter.advance(nowMs), nowMs);
     if (this.#isSigned) {
       this.#applyConfiguration(this.#configuration.advance(nowMs), nowMs);
+    } else {
+      this.#documents.advance(nowMs);
     }
-    this.#documents.advance(nowMs);
     table.advance(nowMs).forEach((bodyOf) => outbox.add({ kind: 'releaseBody', bodyOf }));
     this.#finishDrain(nowMs);
   }
--- a/packages/core/test/process/documents/DocumentRelay.test.ts
+++ b/packages/core/test/process/documents/DocumentRelay.test.ts
@@ -1,20 +1,37 @@
 import { expect } from 'chai';
-import { DocumentRelay } from '../../../src/process/documents/index.js';
+import {
+  DocumentRelay,
+  SourceWatchScheduler,
+  type DocumentUpdate,
+} from '../../../src/process/documents/index.js';
+import { encodeDocument } from '../../../src/process/documents/documentFrames.js';
+import { Membership } from '../../../src/process/membership/index.js';
 import type { NodeCommand } from '../../../src/process/node/index.js';
 import { Outbox } from '../../../src/process/node/Outbox.js';
 import { SeededSource } from '../../support/SeededSource.js';
 
-const DOCUMENT = { name: 'configuration', revision: 7, content: 'seven' };
+const NAME = 'configuration';
 
-const NEWER = { ...DOCUMENT, revision: 9, content: 'nine' };
+const DOCUMENT: DocumentUpdate = {
+  name: NAME,
+  revision: 7,
+  items: [{ key: 'op', revision: 7, value: 'seven' }],
+};
+
+const NEWER: DocumentUpdate = {
+  name: NAME,
+  revision: 9,
+  items: [{ key: 'op', revision: 9, value: 'nine' }],
+};
 
 function createRelay(): { relay: DocumentRelay; take: () => readonly NodeCommand[] } {
   const outbox = new Outbox('own');
   const random = new SeededSource(3);
-  const relay = new DocumentRelay(
-    { outbox, random, listPeers: () => ['a', 'b', 'c', 'd', 'e'] },
-    0,
-  );
+  const self = { name: 'own', incarnation: 'own-1', service: 'shop', failureDomain: 'x' };
+  const membership = new Membership(self);
+  const scheduler = new SourceWatchScheduler({ self, membership, random, startedMs: 0 });
+  const listPeers = () => ['a', 'b', 'c', 'd', 'e'];
+  const relay = new DocumentRelay({ outbox, random, listPeers, scheduler }, 0);
   return { relay, take: () => outbox.takeCommands() };
 }
 
@@ -28,13 +45,13 @@
 }
 
 function createRequest(revision: number) {
-  return { held: [{ name: 'configuration', revision }] } as Parameters<DocumentRelay['answer']>[1];
+  return { held: [{ name: NAME, revision }], ageMs: 0 } as Parameters<DocumentRelay['answer']>[1];
 }
 
 describe('DocumentRelay', () => {
   it("guards against too many requests to peers while the node's own source answers", () => {
     const { relay, take } = createRelay();
-    relay.recordRead(DOCUMENT);
+    relay.recordRead(DOCUMENT, 0);
     expect(new Set(listAsked(take()))).to.have.property('size', 3);
     Array.from({ length: 200 }, (_, tick) => relay.advance(tick * 50));
     expect(listAsked(take()).length).to.be.within(18, 21);
@@ -52,15 +69,15 @@
 
   it('guards against an older document that replaces a newer one', () => {
     const { relay, take } = createRelay();
-    relay.receive(NEWER);
-    relay.receive(DOCUMENT);
+    relay.receive(encodeDocument(NEWER), 0);
+    relay.receive(encodeDocument(DOCUMENT), 0);
     const received = take().filter((command) => command.kind === 'documentReceived');
-    expect(received).to.deep.equal([{ kind: 'documentReceived', document: NEWER }]);
+    expect(received).to.deep.equal([{ kind: 'documentReceived', update: NEWER }]);
   });
 
   it('guards against a new revision of a peer that is never requested while the source does not deliver it', () => {
     const { relay, take } = createRelay();
-    relay.recordRead(DOCUMENT);
+    relay.recordRead(DOCUMENT, 0);
     relay.advance(1_000);
     take();
     relay.answer('b', createRequest(9), 1_000);
@@ -72,10 +89,10 @@
 
   it("guards against a request for a revision that the node's own source has delivered in the meantime", () => {
     const { relay, take } = createRelay();
-    relay.recordRead(DOCUMENT);
+    relay.recordRead(DOCUMENT, 0);
     relay.advance(1_000);
     relay.answer('b', createRequest(9), 1_000);
-    relay.recordRead(NEWER);
+    relay.recordRead(NEWER, 0);
     take();
     relay.advance(1_400);
     expect(listAsked(take())).to.deep.equal([]);
@@ -83,10 +100,25 @@
 
   it('guards against a peer that does not get a newer document', () => {
     const { relay, take } = createRelay();
-    relay.recordRead(NEWER);
+    relay.recordRead(NEWER, 0);
+    take();
+    relay.answer('b', createRequest(7), 0);
+    const [reply] = take();
+    expect(reply.kind === 'sendReply' && reply.frame.body.value).to.deep.equal(
+      encodeDocument(NEWER),
+    );
+  });
+
+  it('guards against a peer that gets all items, or misses a removal, although only a few changed', () => {
+    const { relay, take } = createRelay();
+    relay.recordRead(DOCUMENT, 0);
+    const items = [{ key: 'gone', revision: 9, graceMs: 300 }];
+    relay.recordRead({ name: NAME, revision: 9, since: 7, items }, 0);
     take();
     relay.answer('b', createRequest(7), 0);
     const [reply] = take();
-    expect(reply.kind === 'sendReply' && reply.frame.body.value).to.include(NEWER);
+    expect(reply.kind === 'sendReply' && reply.frame.body.value).to.deep.equal(
+      encodeDocument({ name: NAME, revision: 9, since: 7, items }),
+    );
   });
 });
--- a/packages/node/src/ports/ConfigurationSource.ts
+++ b/packages/node/src/ports/ConfigurationSource.ts
@@ -22,14 +22,14 @@
   readConfiguration(): void;
 
   /**
-   * Starts or stops watching the configuration, on a command of the decision engine.
+   * Starts or stops watching what the decision engine may also get from peers, on its command.
    * @param enabled - Whether to watch.
    */
-  setConfigurationWatch(enabled: boolean): void;
+  setWatch(enabled: boolean): void;
 
   /**
-   * Accepts a document from a peer, which may be newer than the last one read.
-   * @param document - Document of the peer.
+   * Accepts changes of a document from a peer, which may be newer than what was read.
+   * @param update - Changes, or all items.
    */
-  acceptDocument(document: documents.PublishedDocument): void;
+  acceptDocument(update: documents.DocumentUpdate): void;
 }
--- a/packages/node/src/process/host/CommandDispatcher.ts
+++ b/packages/node/src/process/host/CommandDispatcher.ts
@@ -53,8 +53,8 @@
       releaseBody: ({ bodyOf }) => store.release(bodyOf),
       keepBody: ({ from, to }) => this.#checkStored(store.addAlias(from, to), 'keepBody'),
       readService: () => source.readConfiguration(),
-      watchService: ({ enabled }) => source.setConfigurationWatch(enabled),
-      documentReceived: ({ document }) => source.acceptDocument(document),
+      watchService: ({ enabled }) => source.setWatch(enabled),
+      documentReceived: ({ update }) => source.acceptDocument(update),
       drained: () => targets.finishDrain(),
       log: (command) => this.#log(command),
     };
--- a/packages/node/src/process/platform/PlatformReader.ts
+++ b/packages/node/src/process/platform/PlatformReader.ts
@@ -130,7 +130,7 @@
    * Starts or stops watching the bundle.
    * @param enabled - Whether to watch.
    */
-  setConfigurationWatch(enabled: boolean): void {
+  setWatch(enabled: boolean): void {
     if (enabled) {
       this.#bundle.start();
     } else {
--- a/packages/node/test/process/platform/PlatformReader.test.ts
+++ b/packages/node/test/process/platform/PlatformReader.test.ts
@@ -69,10 +69,10 @@
         index = 8;
       }
     };
-    reader.setConfigurationWatch(true);
-    reader.setConfigurationWatch(true);
+    reader.setWatch(true);
+    reader.setWatch(true);
     await waitFor('the second bundle', () => listEnvelopes().length === 2);
-    reader.setConfigurationWatch(false);
+    reader.setWatch(false);
     expect(listEnvelopes()).to.deep.equal(['bundle 7', 'bundle 8']);
     expect(urls.slice(0, 3)).to.deep.equal([
       '/configuration/bundle',
@@ -82,13 +82,13 @@
   });
 
   it('guards against a watch that continues after it was stopped or retries without a pause', async () => {
-    reader.setConfigurationWatch(true);
+    reader.setWatch(true);
     await waitFor('the failure', () => messages.some(({ kind }) => kind === 'serviceUnavailable'));
     await new Promise((resolve) => {
       setTimeout(resolve, 300);
     });
     expect(urls.length).to.equal(1);
-    reader.setConfigurationWatch(false);
+    reader.setWatch(false);
     handle = (_url, outgoing) => outgoing.setHeader('platform-index', 1).end('late');
     await new Promise((resolve) => {
       setTimeout(resolve, 1_000);
@@ -143,7 +143,7 @@
         outgoing.setHeader('platform-index', 7).end('bundle 7');
       }
     };
-    reader.setConfigurationWatch(true);
+    reader.setWatch(true);
     await waitFor('the whole bundle', () => listEnvelopes().includes('bundle 7'));
     expect(listEnvelopes()).to.deep.equal(['bundle 7']);
   });
