Do not pass on requests whose clients left while the process was late

Trace: the client gives up after 1 s because its request is not read; the node, late by 1.6 s in its first seconds, reads the request and the end of the connection in two successive reads, passes the request on after the first and cancels it 8 ms later, after the second.

A process whose tick is overdue now waits for one more read of the sockets before it passes a request on.

Watchers of the store: six in the whole fleet in place of two per failure domain.

--- a/packages/core/src/process/documents/SourceWatchScheduler.ts
+++ b/packages/core/src/process/documents/SourceWatchScheduler.ts
@@ -1,8 +1,11 @@
 import { listByRendezvous, type Membership, type VmIdentity } from '../membership/index.js';
 import type { RandomSource } from '../time/index.js';
 
-/** Nodes per failure domain that watch the source; the others rely on their peers. */
-const WATCHERS_PER_DOMAIN = 2;
+/**
+ * Nodes of the whole fleet that watch the source, in equal parts of the failure domains; the others rely on their peers.
+ * With a third of the VMs cut off from the source, all six are cut off once in 700 times.
+ */
+const MIN_WATCHERS = 6;
 
 /** Up to this number of VMs every node watches the source, because a few watchers could all be cut off from it. */
 const SMALL_FLEET = 24;
@@ -36,8 +39,8 @@
 }
 
 /**
- * Decides whether this node watches the source of the documents. In a large fleet, two nodes per failure domain do, chosen
- * by rendezvous hashing. The others get the documents from peers, together with their age, and watch the source themselves
+ * Decides whether this node watches the source of the documents. In a large fleet, a few nodes of each failure domain do,
+ * chosen by rendezvous hashing. The others get the documents from peers, together with their age, and watch the source themselves
  * when the age shows that no watcher is heard from any more.
  */
 export class SourceWatchScheduler {
@@ -151,7 +154,8 @@
       .filter((name) => !membership.isLeaving(name));
     const ranked = listByRendezvous(`source/${self.failureDomain}`, present);
     const rank = ranked.indexOf(self.name);
-    return rank >= 0 && rank < WATCHERS_PER_DOMAIN;
+    const domains = membership.listFailureDomains().length;
+    return rank >= 0 && rank < Math.ceil(MIN_WATCHERS / domains);
   }
 
   /** Returns whether this node watches because it has not heard from a watcher for long; such a watch has an end. */
--- a/packages/core/test/process/documents/SourceWatchScheduler.test.ts
+++ b/packages/core/test/process/documents/SourceWatchScheduler.test.ts
@@ -7,6 +7,9 @@
 
 const DOMAINS = 6;
 
+/** Nodes that watch the source in a fleet of any size above the smallest. */
+const WATCHERS = 6;
+
 interface Node {
   readonly scheduler: SourceWatchScheduler;
   reachable: boolean;
@@ -76,7 +79,7 @@
     [60, 195].forEach((size) => {
       const fleet = new Fleet(size);
       fleet.run(30_000);
-      expect(fleet.countWatchers(), String(size)).to.equal(2 * DOMAINS);
+      expect(fleet.countWatchers(), String(size)).to.equal(WATCHERS);
       expect(Math.max(...fleet.nodes.map(({ tries }) => tries))).to.equal(1);
     });
   });
--- a/packages/node/src/process/decisions/DecisionLoop.ts
+++ b/packages/node/src/process/decisions/DecisionLoop.ts
@@ -5,6 +5,9 @@
 /** Interval of the `tick` messages, in milliseconds. */
 const TICK_MS = 50;
 
+/** Delay of a tick from which on the process counts as lagging, in milliseconds. */
+const LAG_MS = 50;
+
 /** Options of a decision loop; `now` returns the monotonic time in milliseconds. */
 export interface DecisionLoopOptions {
   readonly engine: DecisionEngine;
@@ -28,14 +31,25 @@
 
   #failures = 0;
 
+  #tickedMs: number;
+
   /** @param options - Decision engine, and the callback that receives its commands. */
   constructor(options: DecisionLoopOptions) {
     this.#options = options;
+    this.#tickedMs = options.now();
   }
 
   /** Starts to publish a `tick` message every 50 ms. */
   start(): void {
-    this.#timer = setInterval(() => this.publish({ kind: 'tick' }), TICK_MS);
+    this.#timer = setInterval(() => {
+      this.#tickedMs = this.#options.now();
+      this.publish({ kind: 'tick' });
+    }, TICK_MS);
+  }
+
+  /** Returns whether the process handles events so late that a tick is overdue. */
+  isLagging(): boolean {
+    return this.#options.now() - this.#tickedMs >= TICK_MS + LAG_MS;
   }
 
   /**
--- a/packages/node/src/process/host/NodeProcess.ts
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -242,6 +242,7 @@
       counters: this.#counters,
       latency: this.#latencies[part],
       now: readNow,
+      isLagging: () => this.#loop.isLagging(),
       buildRequestId: () => this.#buildRequestId(),
       publish: (message) => this.#publish(message),
     });
--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -15,6 +15,7 @@
 import { parseRawHeaders } from './parseRawHeaders.js';
 import { readBody } from './readBody.js';
 import type { ReadBodyResult } from './readBody.js';
+import { waitForNextPoll } from './waitForNextPoll.js';
 import { renderAnswer, writeAnswer } from './writeAnswer.js';
 
 /** Limits of a listener; times in milliseconds, sizes in bytes. */
@@ -41,6 +42,8 @@
   readonly counters: Counters;
   readonly latency: LatencyHistogram;
   readonly now: () => number;
+  /** Returns whether the process is so late that a client may have left before its request was read. */
+  readonly isLagging: () => boolean;
   readonly buildRequestId: () => string;
   readonly publish: (message: node.NodeMessage) => void;
 }
@@ -230,7 +233,10 @@
     const { limits, store, part, counters } = this.#options;
     counters.count(`${part}_requests`);
     const body = await readBody(incoming, { maxBody: limits.maxBody, store });
-    if (body.kind === 'complete' && !outgoing.destroyed) {
+    if (body.kind === 'complete' && this.#options.isLagging()) {
+      await waitForNextPoll();
+    }
+    if (body.kind === 'complete' && !outgoing.destroyed && !hasLeft(incoming)) {
       this.#announce(incoming, outgoing, arrivedMs, body);
       return;
     }
@@ -353,6 +359,11 @@
   }
 }
 
+/** Returns whether the client has closed its connection or its sending side; Node.js then ends the connection. */
+function hasLeft({ socket }: IncomingMessage): boolean {
+  return socket.destroyed || socket.readableEnded;
+}
+
 /** Returns a jittered retry delay for a caller that is refused because the buffers are full, in milliseconds. */
 function chooseRetryAfterMs(): number {
   return 500 + Math.random() * 1_000;
--- a/packages/node/test/request/RequestListener.test.ts
+++ b/packages/node/test/request/RequestListener.test.ts
@@ -1,7 +1,9 @@
 import { createHash, randomBytes } from 'node:crypto';
+import { once } from 'node:events';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { Readable } from 'node:stream';
+import { setTimeout as wait } from 'node:timers/promises';
 import { request as coreRequest } from '@tanagerpond/core';
 import type { node } from '@tanagerpond/core';
 import { expect } from 'chai';
@@ -17,6 +19,9 @@
 /** Size of an answer that exceeds the buffers of a connection, in bytes. */
 const ANSWER_BYTES = 32 * 1024 * 1024;
 
+/** Time in which a request would be passed on, in milliseconds. */
+const SETTLE_MS = 50;
+
 /** Delay of an answer, in which the next bytes of the client are read, in milliseconds. */
 const ANSWER_AFTER_MS = 100;
 
@@ -29,6 +34,7 @@
 
 describe('RequestListener', () => {
   let store: BodyStore;
+  let counters: Counters;
   let listener: RequestListener;
   let origin: string;
   let port: number;
@@ -38,6 +44,7 @@
 
   async function start(part: 'caller' | 'egress'): Promise<void> {
     store = new BodyStore(2 * MAX_BODY);
+    counters = new Counters();
     arrived = [];
     gone = [];
     listener = new RequestListener({
@@ -52,9 +59,10 @@
         keepAliveMs: 30_000,
       },
       store,
-      counters: new Counters(),
+      counters,
       latency: new LatencyHistogram(),
       now: () => performance.now(),
+      isLagging: () => true,
       buildRequestId: () => `r${arrived.length}`,
       publish: (message) => {
         if (message.kind === 'callerRequest' || message.kind === 'egressRequest') {
@@ -114,6 +122,17 @@
     expect(store.used).to.equal(0);
   });
 
+  it('guards against a request that is passed on although its client left before the process read it', async () => {
+    const socket = connect(port, '127.0.0.1');
+    await once(socket, 'connect');
+    socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+    socket.destroy();
+    await waitFor('the request', () => counters.read().caller_requests === 1);
+    await wait(SETTLE_MS);
+    expect(arrived).to.deep.equal([]);
+    expect(store.used).to.equal(0);
+  });
+
   it('guards against missing a key in a body, and against reporting a key where there is none', async () => {
     const bodies = [`x${KEY}y`, `tpk_tpk_${KEY}`, KEY.slice(0, -1), `${KEY.slice(0, -1)} x`, ''];
     for (let index = 0; index < bodies.length; index++) {
