--- a/packages/core/src/process/documents/SourceWatchScheduler.ts
+++ b/packages/core/src/process/documents/SourceWatchScheduler.ts
@@ -14,7 +14,7 @@
 const SETTLE_MS = 1_000;
 
 /** Age of the documents after which a node watches the source itself, in milliseconds. */
-const MAX_AGE_MS = 5_000;
+const MAX_AGE_MS = 8_000;
 
 /**
  * Time between the reads of two nodes that no longer hear from a watcher, in milliseconds, so that a whole fleet does not
