Do not run calls of peers whose cancellation a late process has not read yet

The same cause as for late requests of callers: a process that lags acts on a call before it reads the cancellation behind it. The test failed before (c was delivered).

--- a/packages/node/src/connection/LinkCalls.ts
+++ b/packages/node/src/connection/LinkCalls.ts
@@ -6,6 +6,7 @@
 import { BodyReceiver, type BodyFault } from './BodyReceiver.js';
 import { BodySender, CHUNK_BYTES } from './BodySender.js';
 import { buildFrame } from './LinkStream.js';
+import { waitForNextPoll } from './waitForNextPoll.js';
 
 /** Maximum size of a body that is sent inside the frame of its call or answer, in bytes. */
 const MAX_INLINE_BODY_BYTES = CHUNK_BYTES;
@@ -31,6 +32,8 @@
   readonly maxBody: number;
   readonly counters: Counters;
   readonly now: () => number;
+  /** Returns whether the process is so late that a caller may have left before its call was read. */
+  readonly isLagging: () => boolean;
   readonly write: (frame: Frame, done?: () => void) => void;
   /** Receives each frame of the peer whose body is complete and stored. */
   readonly deliver: (frame: Frame) => void;
@@ -54,6 +57,9 @@
 
   readonly #cancelled = new Set<string>();
 
+  /** Frames of calls that are delivered after the next read of the sockets, by call id. */
+  readonly #held = new Map<string, Frame>();
+
   /** Frames whose body is being received, by call id. */
   readonly #pending = new Map<string, Frame>();
 
@@ -159,6 +165,7 @@
     this.#active.clear();
     this.#cancelled.clear();
     this.#pending.clear();
+    [...this.#held.keys()].forEach((callId) => this.#dropHeld(callId));
   }
 
   #receiveCall(frame: Frame, { value }: Body<'openCall'>): void {
@@ -205,7 +212,7 @@
       this.#drop('cancel');
       return;
     }
-    if (this.#receiver.cancel(callId)) {
+    if (this.#receiver.cancel(callId) || this.#dropHeld(callId)) {
       this.#failBody(callId, 'cancelled');
       return;
     }
@@ -279,10 +286,31 @@
     }
     if (this.#options.opener) {
       this.#remove(callId);
+    } else if (this.#options.isLagging()) {
+      void this.#hold(callId, frame);
+      return;
     }
     this.#options.deliver(frame);
   }
 
+  /** Delivers a call of a late process after the next read, in which its cancellation may be. */
+  async #hold(callId: string, frame: Frame): Promise<void> {
+    this.#held.set(callId, frame);
+    await waitForNextPoll();
+    if (this.#held.get(callId) === frame) {
+      this.#held.delete(callId);
+      this.#options.deliver(frame);
+    }
+  }
+
+  #dropHeld(callId: string): boolean {
+    const isHeld = this.#held.delete(callId);
+    if (isHeld) {
+      this.#options.store.release(callId);
+    }
+    return isHeld;
+  }
+
   /**
    * Ends a call whose body was not received completely. The end that receives calls refuses the call, which the
    * decision engine has not seen. The opener cancels the call and delivers a refusal in place of the answer.
--- a/packages/node/src/connection/PeerLink.ts
+++ b/packages/node/src/connection/PeerLink.ts
@@ -31,6 +31,8 @@
   readonly store: BodyStore;
   readonly counters: Counters;
   readonly now: () => number;
+  /** Returns whether the process is so late that a caller may have left before its call was read. */
+  readonly isLagging: () => boolean;
   /** Validates the `Hello` of the peer; false closes the link. */
   readonly checkHello: (hello: Hello) => boolean;
   /** Called when the link is up, with the `Hello` of the peer. */
@@ -193,7 +195,7 @@
   }
 
   #createCalls(hello: Hello): LinkCalls {
-    const { opener, store, maxBody, counters, now, onFrame } = this.#options;
+    const { opener, store, maxBody, counters, now, isLagging, onFrame } = this.#options;
     return new LinkCalls({
       peer: hello.vm,
       opener,
@@ -202,6 +204,7 @@
       maxBody,
       counters,
       now,
+      isLagging,
       write: (frame, done) => this.#stream.write(frame, done),
       deliver: (frame) => onFrame(hello, frame),
       fail: () => this.close('protocol'),
--- a/packages/node/src/connection/PeerLinks.ts
+++ b/packages/node/src/connection/PeerLinks.ts
@@ -20,6 +20,8 @@
   readonly counters: Counters;
   readonly log: Log;
   readonly now: () => number;
+  /** Returns whether the process is so late that a caller may have left before its call was read. */
+  readonly isLagging: () => boolean;
   /** Time limit until the peer's `Hello`, in milliseconds; 1,000 by default. */
   readonly connectLimitMs?: number;
   /** Idle time after which an outbound link is closed, in milliseconds; 60,000 by default. */
@@ -220,7 +222,7 @@
     transport: LinkTransport,
     opener: boolean,
   ): Omit<PeerLinkOptions, 'checkHello' | 'onUp' | 'onEnd'> {
-    const { buildHello, store, maxBody, counters, now, publish } = this.#options;
+    const { buildHello, store, maxBody, counters, now, isLagging, publish } = this.#options;
     return {
       transport,
       opener,
@@ -229,6 +231,7 @@
       maxBody,
       counters,
       now,
+      isLagging,
       helloLimitMs: this.#options.connectLimitMs ?? CONNECT_LIMIT_MS,
       idleMs: this.#options.idleMs ?? IDLE_MS,
       onFrame: ({ vm, incarnation }, frame) =>
--- a/packages/node/src/process/host/NodeProcess.ts
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -116,6 +116,7 @@
     const publish = (message: node.NodeMessage): void => this.#publish(message);
     this.#links = new PeerLinks({
       ...common,
+      isLagging: () => this.#loop.isLagging(),
       publish,
       maxBody: settings.bodies.maxBody,
       buildHello: () => this.#buildHello(),
--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net';
 import { identity, request } from '@tanagerpond/core';
 import type { node } from '@tanagerpond/core';
-import { startListening, stopListening } from '../connection/index.js';
+import { startListening, stopListening, waitForNextPoll } from '../connection/index.js';
 import type { EdgeAdapter } from '../ports/index.js';
 import type { BodyStore, BodyReference } from '../process/bodies/index.js';
 import type { Counters, LatencyHistogram } from '../process/metrics/index.js';
@@ -15,7 +15,6 @@
 import { parseRawHeaders } from './parseRawHeaders.js';
 import { readBody } from './readBody.js';
 import type { ReadBodyResult } from './readBody.js';
-import { waitForNextPoll } from './waitForNextPoll.js';
 import { renderAnswer, writeAnswer } from './writeAnswer.js';
 
 /** Limits of a listener; times in milliseconds, sizes in bytes. */
--- a/packages/node/test/connection/LinkCalls.test.ts
+++ b/packages/node/test/connection/LinkCalls.test.ts
@@ -3,7 +3,7 @@
 import type { Frame } from '@tanagerpond/wire';
 import { Outcome } from '@tanagerpond/wire';
 import { CHUNK_BYTES, WINDOW_BYTES } from '../../src/connection/BodySender.js';
-import { buildFrame } from '../../src/connection/index.js';
+import { buildFrame, waitForNextPoll } from '../../src/connection/index.js';
 import { LinkCalls } from '../../src/connection/LinkCalls.js';
 import { BodyStore } from '../../src/process/bodies/index.js';
 import { Counters } from '../../src/process/metrics/index.js';
@@ -26,6 +26,8 @@
 
   nowMs = 0;
 
+  isLagging = false;
+
   readonly calls: LinkCalls;
 
   constructor(opener: boolean, inlineBodies = false) {
@@ -37,6 +39,7 @@
       maxBody: MAX_BODY,
       counters: this.counters,
       now: () => this.nowMs,
+      isLagging: () => this.isLagging,
       write: (frame, done) => {
         this.written.push(frame);
         done?.();
@@ -149,6 +152,20 @@
     expect(link.written.at(-1)?.body.case).to.equal('cancelCall');
   });
 
+  it('guards against running a call whose cancellation a late process has not read yet', async () => {
+    const link = new Fixture(false);
+    link.isLagging = true;
+    link.calls.receive(buildInline('c', 4));
+    link.calls.receive(buildInline('d', 4));
+    link.calls.receive(buildFrame({ case: 'cancelCall', value: { callId: 'c' } }));
+    await waitForNextPoll();
+    await waitForNextPoll();
+    const opened = link.delivered.map(({ body }) => body.case === 'openCall' && body.value.callId);
+    expect(opened).to.deep.equal(['d']);
+    expect(listRefusals(link.written)).to.deep.equal([['cancelled', Outcome.NOT_RUN]]);
+    expect(link.store.used).to.equal(4);
+  });
+
   it('guards against running a call that was cancelled before its body was complete', () => {
     const link = new Fixture(false);
     link.calls.receive(buildOpen('c', 10));
--- a/packages/node/test/connection/PeerLink.test.ts
+++ b/packages/node/test/connection/PeerLink.test.ts
@@ -42,6 +42,7 @@
       store: new BodyStore(1024),
       counters: new Counters(),
       now: () => nowMs,
+      isLagging: () => false,
       checkHello: () => accepted,
       onUp: () => undefined,
       onFrame: (_hello: Hello, frame) => frames.push(frame),
--- a/packages/node/test/connection/PeerLinks.test.ts
+++ b/packages/node/test/connection/PeerLinks.test.ts
@@ -45,6 +45,7 @@
         },
       },
       now: () => performance.now() + skipMs,
+      isLagging: () => false,
     });
   });
 
