--- a/packages/node/src/connection/LinkCalls.ts
+++ b/packages/node/src/connection/LinkCalls.ts
@@ -287,14 +287,14 @@
     if (this.#options.opener) {
       this.#remove(callId);
     } else if (this.#options.isLagging()) {
-      void this.#hold(callId, frame);
+      void this.#keepUntilRead(callId, frame);
       return;
     }
     this.#options.deliver(frame);
   }
 
   /** Delivers a call of a late process after the next read, in which its cancellation may be. */
-  async #hold(callId: string, frame: Frame): Promise<void> {
+  async #keepUntilRead(callId: string, frame: Frame): Promise<void> {
     this.#held.set(callId, frame);
     await waitForNextPoll();
     if (this.#held.get(callId) === frame) {
