--- a/packages/node/src/process/decisions/DecisionLoop.ts
+++ b/packages/node/src/process/decisions/DecisionLoop.ts
@@ -33,9 +33,6 @@
 
   #tickedMs: number;
 
-  /** Delay of the last tick, in milliseconds. What is read directly after a late tick has waited as long. */
-  #tickDelayMs = 0;
-
   /** @param options - Decision engine, and the callback that receives its commands. */
   constructor(options: DecisionLoopOptions) {
     this.#options = options;
@@ -45,17 +42,14 @@
   /** Starts to publish a `tick` message every 50 ms. */
   start(): void {
     this.#timer = setInterval(() => {
-      const nowMs = this.#options.now();
-      this.#tickDelayMs = nowMs - this.#tickedMs - TICK_MS;
-      this.#tickedMs = nowMs;
+      this.#tickedMs = this.#options.now();
       this.publish({ kind: 'tick' });
     }, TICK_MS);
   }
 
-  /** Returns whether the process handles events late: the last tick was late, or the next one is overdue. */
+  /** Returns whether the process handles events so late that a tick is overdue. */
   isLagging(): boolean {
-    const overdueMs = this.#options.now() - this.#tickedMs - TICK_MS;
-    return Math.max(this.#tickDelayMs, overdueMs) >= LAG_MS;
+    return this.#options.now() - this.#tickedMs >= TICK_MS + LAG_MS;
   }
 
   /**
