Do not claim changes that one page of a list may lack

A node that relies on peers could miss a change for good when its list had several pages: the pages differ in age (since the list may be read from a state seconds old, by seconds in either direction), the revision of the document was that of its newest item, and peers send only later changes.

--- a/packages/core/src/process/documents/KeyedDocument.ts
+++ b/packages/core/src/process/documents/KeyedDocument.ts
@@ -41,7 +41,8 @@
     const removals = since === undefined ? this.#findMissing(update.items, asOf) : [];
     const changes = [...update.items.filter((item) => this.#isNewer(item)), ...removals];
     changes.forEach((item) => this.#items.set(item.key, item));
-    this.#revision = Math.max(this.#revision, revision, ...changes.map((item) => item.revision));
+    // Removals are dated with the time of the list, so peers learn of them only from that revision on.
+    this.#revision = Math.max(this.#revision, removals.length > 0 ? asOf : revision);
     if (since === undefined) {
       this.#floor = Math.max(this.#floor, revision);
     }
--- a/packages/core/test/process/documents/KeyedDocument.test.ts
+++ b/packages/core/test/process/documents/KeyedDocument.test.ts
@@ -40,6 +40,18 @@
     expect(document.createUpdate(NAME, 6).items).to.deep.equal([{ key: 'b', revision: 12 }]);
   });
 
+  it('guards against a list with a newer item that claims the changes before that item', () => {
+    const document = new KeyedDocument();
+    const items = [
+      { key: 'a', revision: 5, value: 'x' },
+      { key: 'b', revision: 9, value: 'x' },
+    ];
+    document.apply({ name: NAME, revision: 7, asOf: 7, items });
+    expect(document.revision).to.equal(7);
+    document.apply({ name: NAME, revision: 9, since: 7, items: [{ key: 'a', revision: 8 }] });
+    expect(listKeys(document)).to.deep.equal(['b']);
+  });
+
   it('guards against changes that are accepted although earlier ones are missing', () => {
     const document = createDocument({ key: 'a', revision: 5, value: 'x' });
     const update = { name: NAME, revision: 9, since: 7, items: [] };
