Tell a time to come back only for the reasons that had one

A table of base times by reason serves this reason and the start of a node alike. The test failed before (retry-after on an expired deadline).

--- a/packages/core/src/request/calls/OutboundCallHandler.ts
+++ b/packages/core/src/request/calls/OutboundCallHandler.ts
@@ -5,7 +5,7 @@
 import type * as backpressure from '../../process/backpressure/index.js';
 import type { NodeServices } from '../../process/node/NodeServices.js';
 import { computeRetryAfter } from '../computeRetryAfter.js';
-import { createRefusal, REFUSALS, type Refusal, type RefusalReason } from '../refusals.js';
+import { createRefusal, type Refusal, type RefusalReason } from '../refusals.js';
 import { admitCaller, type AdmittedRequest } from './admitCaller.js';
 import { admitEgress } from './admitEgress.js';
 import type { AttemptSender } from './AttemptSender.js';
@@ -20,14 +20,12 @@
 import type { InboundCallTable } from './InboundCallTable.js';
 import type { TicketRequests } from './TicketRequests.js';
 
-/** Base of the jittered `retry-after` that a node without a bundle sends, in milliseconds. */
-const STARTING_RETRY_MS = 500;
-
-/**
- * Base of the jittered `retry-after` of a request that the active bundle does not support, in milliseconds; long, because
- * only another version of the configuration or of the node changes that.
- */
-const UNSUPPORTED_RETRY_MS = 5_000;
+/** Base of the jittered `retry-after` of refused requests that were not sent, in milliseconds, by reason. */
+const RETRY_AFTER_MS: Readonly<Partial<Record<RefusalReason, number>>> = {
+  starting: 500,
+  // Long, because only another version of the configuration or of the node changes it.
+  configurationUnsupported: 5_000,
+};
 
 /** Parts of the outbound side of a node. */
 export interface OutboundParts {
@@ -64,7 +62,7 @@
   receiveCallerRequest(request: ReceivedRequest, nowMs: number): void {
     const bundle = this.#services.findBundle();
     if (bundle === undefined) {
-      this.#refuseRequest(request, this.#createStartingRefusal());
+      this.#refuseRequest(request, this.#addRetryAfter(createRefusal('starting')));
       return;
     }
     admitCaller(bundle, request, () => this.#services.random.next()).match({
@@ -318,17 +316,11 @@
     closer.refuse(call, createRefusal('deadlinePassedWhileRunning'));
   }
 
-  #createStartingRefusal(): Refusal {
-    const retryAfterMs = computeRetryAfter(STARTING_RETRY_MS, this.#services.random);
-    return createRefusal('starting', { retryAfterMs });
-  }
-
   #addRetryAfter(refusal: Refusal): Refusal {
-    if (!REFUSALS[refusal.reason].retryAfter) {
-      return refusal;
-    }
-    const retryAfterMs = computeRetryAfter(UNSUPPORTED_RETRY_MS, this.#services.random);
-    return { retryAfterMs, ...refusal };
+    const baseMs = RETRY_AFTER_MS[refusal.reason];
+    return baseMs === undefined
+      ? refusal
+      : { ...refusal, retryAfterMs: computeRetryAfter(baseMs, this.#services.random) };
   }
 }
 
