--- a/packages/core/src/process/documents/SourceWatchScheduler.ts
+++ b/packages/core/src/process/documents/SourceWatchScheduler.ts
@@ -17,8 +17,8 @@
 const MAX_AGE_MS = 8_000;
 
 /**
- * Time between the reads of two nodes that no longer hear from a watcher, in milliseconds, so that a whole fleet does not
- * call the source at once.
+ * Mean time between two nodes of the fleet that begin to try the source because they no longer hear from a watcher, in
+ * milliseconds. Without it the whole fleet would call the source at once.
  */
 const FALLBACK_GAP_MS = 50;
 
@@ -40,8 +40,8 @@
 
 /**
  * Decides whether this node watches the source of the documents. In a large fleet, a few nodes of each failure domain do,
- * chosen by rendezvous hashing. The others get the documents from peers, together with their age, and watch the source themselves
- * when the age shows that no watcher is heard from any more.
+ * chosen by rendezvous hashing. The others get the documents from peers, together with their age, and watch the source
+ * themselves when the age shows that no watcher is heard from any more.
  */
 export class SourceWatchScheduler {
   readonly #options: SourceWatchSchedulerOptions;
