--- a/packages/node/src/process/decisions/DecisionLoop.ts
+++ b/packages/node/src/process/decisions/DecisionLoop.ts
@@ -8,6 +8,9 @@
 /** Delay of a tick from which on the process counts as lagging, in milliseconds. */
 const LAG_MS = 50;
 
+/** Delay of a tick from which on it is logged, in milliseconds: half of the delay that callers notice. */
+const LOGGED_LATE_MS = 250;
+
 /** Options of a decision loop; `now` returns the monotonic time in milliseconds. */
 export interface DecisionLoopOptions {
   readonly engine: DecisionEngine;
@@ -42,7 +45,7 @@
   /** Starts to publish a `tick` message every 50 ms. */
   start(): void {
     this.#timer = setInterval(() => {
-      this.#tickedMs = this.#options.now();
+      this.#recordTick(this.#options.now());
       this.publish({ kind: 'tick' });
     }, TICK_MS);
   }
@@ -74,6 +77,16 @@
     return Promise.resolve();
   }
 
+  /** Logs a late tick: everything that arrived since the last one was handled late too. */
+  #recordTick(nowMs: number): void {
+    const lateMs = nowMs - this.#tickedMs - TICK_MS;
+    this.#tickedMs = nowMs;
+    if (lateMs >= LOGGED_LATE_MS) {
+      const fields = { lateMs: Math.round(lateMs) };
+      this.#options.log.write('info', 'decisions', 'process is late', fields);
+    }
+  }
+
   #run(): void {
     this.#running = true;
     // Handling a message may append to the queue, so it is read by position and emptied at the end.
--- a/packages/node/test/process/DecisionLoop.test.ts
+++ b/packages/node/test/process/DecisionLoop.test.ts
@@ -57,6 +57,28 @@
     expect(loop.failures).to.equal(2);
   });
 
+  it('guards against a late process that leaves no trace in the log', async () => {
+    const lines: unknown[] = [];
+    let nowMs = 0;
+    const late = new DecisionLoop({
+      engine: {
+        handle: () => [],
+        snapshot: () => ({}),
+        measureAges: () => ({}),
+        isServing: () => true,
+        readCounters: () => ({}),
+      },
+      dispatch: () => undefined,
+      now: () => nowMs,
+      log: { write: (_level, part, text, fields) => lines.push([part, text, fields]) },
+    });
+    late.start();
+    nowMs = 350;
+    await waitFor('the log line', () => lines.length > 0);
+    await late[Symbol.asyncDispose]();
+    expect(lines).to.deep.equal([['decisions', 'process is late', { lateMs: 300 }]]);
+  });
+
   it('guards against missing ticks, and against ticks after the end', async () => {
     loop.start();
     await waitFor('two ticks', () => steps.length >= 2);
