--- a/packages/core/bench/slopes/measureCalls.ts
+++ b/packages/core/bench/slopes/measureCalls.ts
@@ -102,6 +102,7 @@
     bodySize: 0,
     bodyDigest: '',
     bodyHasKey: false,
+    arrivedMs: nowMs,
   };
   const begin = performance.now();
   const commands = entry.handle({ kind: 'callerRequest', request }, nowMs);
--- a/packages/core/src/process/node/NodeMessage.ts
+++ b/packages/core/src/process/node/NodeMessage.ts
@@ -18,6 +18,8 @@
   readonly bodyDigest: string;
   /** The body contains text that has the form of an API key. */
   readonly bodyHasKey: boolean;
+  /** Monotonic time at which the head was read, in milliseconds; time limits of the request count from it. */
+  readonly arrivedMs: number;
 }
 
 /**
--- a/packages/core/src/request/calls/OutboundCallHandler.ts
+++ b/packages/core/src/request/calls/OutboundCallHandler.ts
@@ -65,7 +65,7 @@
       this.#refuseRequest(request, this.#addRetryAfter(createRefusal('starting')));
       return;
     }
-    admitCaller(bundle, request, () => this.#services.random.next()).match({
+    admitCaller(bundle, request, () => this.#services.random.next(), nowMs).match({
       Ok: (admitted) => this.#startCallerCall(bundle, request, admitted, nowMs),
       Err: (refusal) => this.#refuseRequest(request, this.#addRetryAfter(refusal)),
     });
--- a/packages/core/src/request/calls/admitCaller.ts
+++ b/packages/core/src/request/calls/admitCaller.ts
@@ -47,14 +47,19 @@
  * @param bundle - Active bundle.
  * @param request - Request whose body is completely received.
  * @param draw - Returns a random number in [0, 1), which selects the service of a route with a traffic split.
+ * @param nowMs - Monotonic time, in milliseconds.
  * @returns The checked request, or the first refusal found.
  */
 export function admitCaller(
   bundle: Bundle,
   request: ReceivedRequest,
   draw: () => number,
+  nowMs: number,
 ): Result<AdmittedRequest, Refusal> {
-  return findRoute(bundle, request, draw).andThen((found) => checkRequest(bundle, request, found));
+  const waitedMs = nowMs - request.arrivedMs;
+  return findRoute(bundle, request, draw)
+    .andThen((found) => checkRequest(bundle, request, found))
+    .andThen((admitted) => subtractWait(admitted, waitedMs));
 }
 
 /**
@@ -101,6 +106,17 @@
   );
 }
 
+/** Subtracts the time for which a request has waited in this node from the time until its deadline. */
+function subtractWait(
+  admitted: AdmittedRequest,
+  waitedMs: number,
+): Result<AdmittedRequest, Refusal> {
+  const remainingMs = admitted.remainingMs - waitedMs;
+  return remainingMs > 0
+    ? Result.ok({ ...admitted, remainingMs })
+    : Result.err(createRefusal('deadlineExpired'));
+}
+
 function findRoute(
   bundle: Bundle,
   { method, target, headers }: ReceivedRequest,
--- a/packages/core/test/process/node/FakeNode.ts
+++ b/packages/core/test/process/node/FakeNode.ts
@@ -143,6 +143,7 @@
       bodySize: 0,
       bodyDigest: '',
       bodyHasKey: false,
+      arrivedMs: this.#options.events.nowMs,
     };
     this.receive(
       callToken === undefined
--- a/packages/core/test/process/node/measureAges.test.ts
+++ b/packages/core/test/process/node/measureAges.test.ts
@@ -43,6 +43,7 @@
       bodySize: 0,
       bodyDigest: '',
       bodyHasKey: false,
+      arrivedMs: nowMs,
     };
     return machine.handle({ kind: 'callerRequest', request }, nowMs);
   }
--- a/packages/node/src/connection/LinkCalls.ts
+++ b/packages/node/src/connection/LinkCalls.ts
@@ -3,10 +3,10 @@
 import type { request } from '@tanagerpond/core';
 import type { BodyStore, BodyReference } from '../process/bodies/index.js';
 import type { Counters } from '../process/metrics/index.js';
+import type { AddWork } from '../process/work/index.js';
 import { BodyReceiver, type BodyFault } from './BodyReceiver.js';
 import { BodySender, CHUNK_BYTES } from './BodySender.js';
 import { buildFrame } from './LinkStream.js';
-import { waitForNextPoll } from './waitForNextPoll.js';
 
 /** Maximum size of a body that is sent inside the frame of its call or answer, in bytes. */
 const MAX_INLINE_BODY_BYTES = CHUNK_BYTES;
@@ -32,8 +32,7 @@
   readonly maxBody: number;
   readonly counters: Counters;
   readonly now: () => number;
-  /** Returns whether the process is so late that a caller may have left before its call was read. */
-  readonly isLagging: () => boolean;
+  readonly addWork: AddWork;
   readonly write: (frame: Frame, done?: () => void) => void;
   /** Receives each frame of the peer whose body is complete and stored. */
   readonly deliver: (frame: Frame) => void;
@@ -57,8 +56,8 @@
 
   readonly #cancelled = new Set<string>();
 
-  /** Frames of calls that are delivered after the next read of the sockets, by call id. */
-  readonly #held = new Map<string, Frame>();
+  /** Frames of complete calls that wait for their turn, by call id. */
+  readonly #waiting = new Map<string, Frame>();
 
   /** Frames whose body is being received, by call id. */
   readonly #pending = new Map<string, Frame>();
@@ -165,7 +164,7 @@
     this.#active.clear();
     this.#cancelled.clear();
     this.#pending.clear();
-    [...this.#held.keys()].forEach((callId) => this.#dropHeld(callId));
+    [...this.#waiting.keys()].forEach((callId) => this.#dropWaiting(callId));
   }
 
   #receiveCall(frame: Frame, { value }: Body<'openCall'>): void {
@@ -212,7 +211,7 @@
       this.#drop('cancel');
       return;
     }
-    if (this.#receiver.cancel(callId) || this.#dropHeld(callId)) {
+    if (this.#receiver.cancel(callId) || this.#dropWaiting(callId)) {
       this.#failBody(callId, 'cancelled');
       return;
     }
@@ -286,29 +285,31 @@
     }
     if (this.#options.opener) {
       this.#remove(callId);
-    } else if (this.#options.isLagging()) {
-      void this.#keepUntilRead(callId, frame);
+      this.#options.deliver(frame);
       return;
     }
-    this.#options.deliver(frame);
+    this.#waiting.set(callId, frame);
+    this.#options.addWork((waitedMs) => this.#takeTurn(callId, frame, waitedMs));
   }
 
-  /** Delivers a call of a late process after the next read, in which its cancellation may be. */
-  async #keepUntilRead(callId: string, frame: Frame): Promise<void> {
-    this.#held.set(callId, frame);
-    await waitForNextPoll();
-    if (this.#held.get(callId) === frame) {
-      this.#held.delete(callId);
-      this.#options.deliver(frame);
+  /** Delivers a call that has waited for its turn, unless it was cancelled meanwhile. */
+  #takeTurn(callId: string, frame: Frame, waitedMs: number): void {
+    if (this.#waiting.get(callId) !== frame) {
+      return;
+    }
+    this.#waiting.delete(callId);
+    if (frame.body.case === 'openCall' && frame.body.value.context !== undefined) {
+      frame.body.value.context.remainingMs -= waitedMs;
     }
+    this.#options.deliver(frame);
   }
 
-  #dropHeld(callId: string): boolean {
-    const isHeld = this.#held.delete(callId);
-    if (isHeld) {
+  #dropWaiting(callId: string): boolean {
+    const isWaiting = this.#waiting.delete(callId);
+    if (isWaiting) {
       this.#options.store.release(callId);
     }
-    return isHeld;
+    return isWaiting;
   }
 
   /**
--- a/packages/node/src/connection/PeerLink.ts
+++ b/packages/node/src/connection/PeerLink.ts
@@ -1,6 +1,7 @@
 import type { Frame, Hello } from '@tanagerpond/wire';
 import type { BodyStore, BodyReference } from '../process/bodies/index.js';
 import type { Counters } from '../process/metrics/index.js';
+import type { AddWork } from '../process/work/index.js';
 import { LinkCalls } from './LinkCalls.js';
 import { LinkStream } from './LinkStream.js';
 import type { FrameStream, LinkEndReason } from './LinkStream.js';
@@ -31,8 +32,7 @@
   readonly store: BodyStore;
   readonly counters: Counters;
   readonly now: () => number;
-  /** Returns whether the process is so late that a caller may have left before its call was read. */
-  readonly isLagging: () => boolean;
+  readonly addWork: AddWork;
   /** Validates the `Hello` of the peer; false closes the link. */
   readonly checkHello: (hello: Hello) => boolean;
   /** Called when the link is up, with the `Hello` of the peer. */
@@ -195,7 +195,7 @@
   }
 
   #createCalls(hello: Hello): LinkCalls {
-    const { opener, store, maxBody, counters, now, isLagging, onFrame } = this.#options;
+    const { opener, store, maxBody, counters, now, addWork, onFrame } = this.#options;
     return new LinkCalls({
       peer: hello.vm,
       opener,
@@ -204,7 +204,7 @@
       maxBody,
       counters,
       now,
-      isLagging,
+      addWork,
       write: (frame, done) => this.#stream.write(frame, done),
       deliver: (frame) => onFrame(hello, frame),
       fail: () => this.close('protocol'),
--- a/packages/node/src/connection/PeerLinks.ts
+++ b/packages/node/src/connection/PeerLinks.ts
@@ -4,6 +4,7 @@
 import type { BodyStore, BodyReference } from '../process/bodies/index.js';
 import type { Log, LogFields } from '../process/log/index.js';
 import type { Counters } from '../process/metrics/index.js';
+import type { AddWork } from '../process/work/index.js';
 import type { LinkEndReason } from './LinkStream.js';
 import { LostLinks } from './LostLinks.js';
 import { PeerLink } from './PeerLink.js';
@@ -20,8 +21,7 @@
   readonly counters: Counters;
   readonly log: Log;
   readonly now: () => number;
-  /** Returns whether the process is so late that a caller may have left before its call was read. */
-  readonly isLagging: () => boolean;
+  readonly addWork: AddWork;
   /** Time limit until the peer's `Hello`, in milliseconds; 1,000 by default. */
   readonly connectLimitMs?: number;
   /** Idle time after which an outbound link is closed, in milliseconds; 60,000 by default. */
@@ -222,7 +222,7 @@
     transport: LinkTransport,
     opener: boolean,
   ): Omit<PeerLinkOptions, 'checkHello' | 'onUp' | 'onEnd'> {
-    const { buildHello, store, maxBody, counters, now, isLagging, publish } = this.#options;
+    const { buildHello, store, maxBody, counters, now, addWork, publish } = this.#options;
     return {
       transport,
       opener,
@@ -231,7 +231,7 @@
       maxBody,
       counters,
       now,
-      isLagging,
+      addWork,
       helloLimitMs: this.#options.connectLimitMs ?? CONNECT_LIMIT_MS,
       idleMs: this.#options.idleMs ?? IDLE_MS,
       onFrame: ({ vm, incarnation }, frame) =>
--- a/packages/node/src/connection/index.ts
+++ b/packages/node/src/connection/index.ts
@@ -6,5 +6,4 @@
 export type { PeerListener } from './GrpcPeerServer.js';
 export { startListening } from './startListening.js';
 export { stopListening } from './stopListening.js';
-export { waitForNextPoll } from './waitForNextPoll.js';
 export { PEER_TRANSPORTS } from './peerTransports.js';
--- a/packages/node/src/process/decisions/DecisionLoop.ts
+++ b/packages/node/src/process/decisions/DecisionLoop.ts
@@ -5,9 +5,6 @@
 /** Interval of the `tick` messages, in milliseconds. */
 const TICK_MS = 50;
 
-/** Delay of a tick from which on the process counts as lagging, in milliseconds. */
-const LAG_MS = 50;
-
 /** Delay of a tick from which on it is logged, in milliseconds: half of the delay that callers notice. */
 const LOGGED_LATE_MS = 250;
 
@@ -50,11 +47,6 @@
     }, TICK_MS);
   }
 
-  /** Returns whether the process handles events so late that a tick is overdue. */
-  isLagging(): boolean {
-    return this.#options.now() - this.#tickedMs >= TICK_MS + LAG_MS;
-  }
-
   /**
    * Passes a message to the decision engine, at once or after the messages that are queued.
    * @param message - Event of the process.
--- a/packages/node/src/process/host/NodeProcess.ts
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -16,6 +16,7 @@
 import { Counters, LatencyHistogram } from '../metrics/index.js';
 import { formatAddress } from '../settings/index.js';
 import type { ListenAddress, Settings } from '../settings/index.js';
+import { WorkQueue } from '../work/index.js';
 import { CommandDispatcher } from './CommandDispatcher.js';
 
 /** Options of a node process. */
@@ -73,6 +74,8 @@
 
   readonly #loop: DecisionLoop;
 
+  readonly #work: WorkQueue;
+
   readonly #links: PeerLinks;
 
   readonly #server: PeerListener;
@@ -106,6 +109,7 @@
     const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
     this.#self = { ...settings.vm, incarnation };
     this.#store = new BodyStore(settings.bodies.budget);
+    this.#work = new WorkQueue({ now: readNow, log });
     this.#engine = options.createDecisions({
       self: this.#self,
       startedMs: readNow(),
@@ -116,7 +120,7 @@
     const publish = (message: node.NodeMessage): void => this.#publish(message);
     this.#links = new PeerLinks({
       ...common,
-      isLagging: () => this.#loop.isLagging(),
+      addWork: (task) => this.#work.add(task),
       publish,
       maxBody: settings.bodies.maxBody,
       buildHello: () => this.#buildHello(),
@@ -243,7 +247,7 @@
       counters: this.#counters,
       latency: this.#latencies[part],
       now: readNow,
-      isLagging: () => this.#loop.isLagging(),
+      addWork: (task) => this.#work.add(task),
       buildRequestId: () => this.#buildRequestId(),
       publish: (message) => this.#publish(message),
     });
@@ -297,7 +301,8 @@
       caller_pending: this.#listeners.caller.pending,
       egress_pending: this.#listeners.egress.pending,
       backend_in_flight: this.#backend.inFlight,
-      decision_failures: this.#loop.failures,
+      decision_failures: this.#loop.failures + this.#work.failures,
+      waiting_work: this.#work.size,
     };
   }
 
--- /dev/null
+++ b/packages/node/src/process/work/index.ts
@@ -0,0 +1,2 @@
+export { WorkQueue } from './WorkQueue.js';
+export type { AddWork, WorkTask } from './WorkQueue.js';
--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -4,10 +4,11 @@
 import type { Socket } from 'node:net';
 import { identity, request } from '@tanagerpond/core';
 import type { node } from '@tanagerpond/core';
-import { startListening, stopListening, waitForNextPoll } from '../connection/index.js';
+import { startListening, stopListening } from '../connection/index.js';
 import type { EdgeAdapter } from '../ports/index.js';
 import type { BodyStore, BodyReference } from '../process/bodies/index.js';
 import type { Counters, LatencyHistogram } from '../process/metrics/index.js';
+import type { AddWork } from '../process/work/index.js';
 import { OUTCOME_HEADER } from './buildRefusalAnswer.js';
 import type { HttpAnswer } from './buildRefusalAnswer.js';
 import { discardBody } from './discardBody.js';
@@ -41,12 +42,19 @@
   readonly counters: Counters;
   readonly latency: LatencyHistogram;
   readonly now: () => number;
-  /** Returns whether the process is so late that a client may have left before its request was read. */
-  readonly isLagging: () => boolean;
+  readonly addWork: AddWork;
   readonly buildRequestId: () => string;
   readonly publish: (message: node.NodeMessage) => void;
 }
 
+/** Request whose body has arrived; `arrivedMs` is the monotonic time of its head, in milliseconds. */
+interface CompleteRequest {
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+  readonly arrivedMs: number;
+  readonly body: Extract<ReadBodyResult, { kind: 'complete' }>;
+}
+
 interface PendingRequest {
   readonly outgoing: ServerResponse;
   readonly arrivedMs: number;
@@ -91,6 +99,9 @@
 
   readonly #server: Server;
 
+  /** Complete requests that wait for their turn. */
+  #waiting = 0;
+
   #draining = false;
 
   /** @param options - Limits, and the callback that receives the requests. */
@@ -128,9 +139,9 @@
     return startListening(this.#server, host, port);
   }
 
-  /** Number of requests that wait for an answer. */
+  /** Number of complete requests that wait for an answer. */
   get pending(): number {
-    return this.#pending.size;
+    return this.#pending.size + this.#waiting;
   }
 
   /** Makes every answer from now on close its connection. */
@@ -232,26 +243,27 @@
     const { limits, store, part, counters } = this.#options;
     counters.count(`${part}_requests`);
     const body = await readBody(incoming, { maxBody: limits.maxBody, store });
-    if (body.kind === 'complete' && this.#options.isLagging()) {
-      await waitForNextPoll();
-    }
-    if (body.kind === 'complete' && !outgoing.destroyed && !hasLeft(incoming)) {
-      this.#announce(incoming, outgoing, arrivedMs, body);
-      return;
-    }
     if (body.kind === 'complete') {
-      body.reservation.release();
+      this.#waiting += 1;
+      this.#options.addWork(() => this.#takeTurn({ incoming, outgoing, arrivedMs, body }));
     } else if (body.kind !== 'gone') {
       await this.#refuseUnread(incoming, outgoing, body.kind);
     }
   }
 
-  #announce(
-    incoming: IncomingMessage,
-    outgoing: ServerResponse,
-    arrivedMs: number,
-    body: Extract<ReadBodyResult, { kind: 'complete' }>,
-  ): void {
+  /** Announces a request that has waited for its turn, unless its client has left meanwhile. */
+  #takeTurn(request: CompleteRequest): void {
+    const { incoming, outgoing, body } = request;
+    this.#waiting -= 1;
+    if (outgoing.destroyed || hasLeft(incoming)) {
+      this.#options.counters.count(`${this.#options.part}_left_before_turn`);
+      body.reservation.release();
+      return;
+    }
+    this.#announce(request);
+  }
+
+  #announce({ incoming, outgoing, arrivedMs, body }: CompleteRequest): void {
     const { store, buildRequestId, publish, part } = this.#options;
     const requestId = buildRequestId();
     const all = this.#options.adapter.readRequest(parseRawHeaders(incoming.rawHeaders));
@@ -263,6 +275,7 @@
       bodySize: body.bytes.length,
       bodyDigest: body.digest,
       bodyHasKey: hasKeyPattern(body.bytes),
+      arrivedMs,
     };
     store.add(requestId, body.bytes, body.reservation);
     this.#pending.set(requestId, { outgoing, arrivedMs });
--- a/packages/node/test/connection/LinkCalls.test.ts
+++ b/packages/node/test/connection/LinkCalls.test.ts
@@ -3,10 +3,11 @@
 import type { Frame } from '@tanagerpond/wire';
 import { Outcome } from '@tanagerpond/wire';
 import { CHUNK_BYTES, WINDOW_BYTES } from '../../src/connection/BodySender.js';
-import { buildFrame, waitForNextPoll } from '../../src/connection/index.js';
+import { buildFrame } from '../../src/connection/index.js';
 import { LinkCalls } from '../../src/connection/LinkCalls.js';
 import { BodyStore } from '../../src/process/bodies/index.js';
 import { Counters } from '../../src/process/metrics/index.js';
+import type { AddWork, WorkTask } from '../../src/process/work/index.js';
 
 const BUDGET = 2 * 1024 * 1024;
 
@@ -26,7 +27,8 @@
 
   nowMs = 0;
 
-  isLagging = false;
+  /** Runs new work at once, unless a queue takes its place. */
+  addWork: AddWork = (task) => task(0);
 
   readonly calls: LinkCalls;
 
@@ -39,7 +41,7 @@
       maxBody: MAX_BODY,
       counters: this.counters,
       now: () => this.nowMs,
-      isLagging: () => this.isLagging,
+      addWork: (task) => this.addWork(task),
       write: (frame, done) => {
         this.written.push(frame);
         done?.();
@@ -152,14 +154,14 @@
     expect(link.written.at(-1)?.body.case).to.equal('cancelCall');
   });
 
-  it('guards against running a call whose cancellation a late process has not read yet', async () => {
+  it('guards against running a call whose cancellation a late process has not read yet', () => {
     const link = new Fixture(false);
-    link.isLagging = true;
+    const tasks: WorkTask[] = [];
+    link.addWork = (task) => tasks.push(task);
     link.calls.receive(buildInline('c', 4));
     link.calls.receive(buildInline('d', 4));
     link.calls.receive(buildFrame({ case: 'cancelCall', value: { callId: 'c' } }));
-    await waitForNextPoll();
-    await waitForNextPoll();
+    tasks.forEach((task) => task(0));
     const opened = link.delivered.map(({ body }) => body.case === 'openCall' && body.value.callId);
     expect(opened).to.deep.equal(['d']);
     expect(listRefusals(link.written)).to.deep.equal([['cancelled', Outcome.NOT_RUN]]);
--- a/packages/node/test/connection/PeerLink.test.ts
+++ b/packages/node/test/connection/PeerLink.test.ts
@@ -42,7 +42,7 @@
       store: new BodyStore(1024),
       counters: new Counters(),
       now: () => nowMs,
-      isLagging: () => false,
+      addWork: (task) => task(0),
       checkHello: () => accepted,
       onUp: () => undefined,
       onFrame: (_hello: Hello, frame) => frames.push(frame),
--- a/packages/node/test/connection/PeerLinks.test.ts
+++ b/packages/node/test/connection/PeerLinks.test.ts
@@ -45,7 +45,7 @@
         },
       },
       now: () => performance.now() + skipMs,
-      isLagging: () => false,
+      addWork: (task) => task(0),
     });
   });
 
--- a/packages/node/test/connection/peerTls.test.ts
+++ b/packages/node/test/connection/peerTls.test.ts
@@ -60,7 +60,7 @@
       50,
     );
     const links = new PeerLinks({
-      isLagging: () => false,
+      addWork: (task) => task(0),
       buildHello: () => buildFrame({ case: 'hello', value: { vm, incarnation: '0'.repeat(32) } }),
       connect: (peer, address) => connectGrpcPeer({ peer, address, credentials }),
       publish: (message) => messages.push(message),
--- a/packages/node/test/request/RequestListener.test.ts
+++ b/packages/node/test/request/RequestListener.test.ts
@@ -12,6 +12,7 @@
 import { Counters, LatencyHistogram } from '../../src/process/metrics/index.js';
 import { NATIVE_EDGE_ADAPTER } from '../../src/ports/index.js';
 import { RequestListener } from '../../src/request/index.js';
+import { WorkQueue } from '../../src/process/work/index.js';
 import { waitFor } from '../support/waitFor.js';
 
 const MAX_BODY = 64 * 1024;
@@ -44,6 +45,7 @@
 
   async function start(part: 'caller' | 'egress'): Promise<void> {
     store = new BodyStore(2 * MAX_BODY);
+    const work = new WorkQueue({ now: () => performance.now(), log: { write: () => undefined } });
     counters = new Counters();
     arrived = [];
     gone = [];
@@ -62,7 +64,7 @@
       counters,
       latency: new LatencyHistogram(),
       now: () => performance.now(),
-      isLagging: () => true,
+      addWork: (task) => work.add(task),
       buildRequestId: () => `r${arrived.length}`,
       publish: (message) => {
         if (message.kind === 'callerRequest' || message.kind === 'egressRequest') {
