End a planned stop only when no request waits at a listener

A request that was read after the last call had ended was not known to the decision engine, so the drain ended and the listener closed its connection after 1 s without an answer. The host now waits until no listener has a request without an answer; the drain limit still ends the wait. The test, with an answer after 1.5 s, failed before (connection closed).

--- a/packages/node/src/process/host/NodeProcess.ts
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -55,6 +55,9 @@
 /** Time after the drain limit in which the decision engine must report the end of the drain, in milliseconds. */
 const DRAIN_MARGIN_MS = 500;
 
+/** Interval of the checks whether requests still wait at the end of a drain, in milliseconds. */
+const DRAIN_CHECK_MS = 10;
+
 /**
  * The node process beside a backend server. Owns the listeners, peer links, backend pool, configuration source and body
  * store; passes their events to the decision engine as messages and executes the commands that it returns.
@@ -152,7 +155,7 @@
       links: this.#links,
       backend: this.#backend,
       source: this.#source,
-      finishDrain: () => this.#drain.settle(),
+      finishDrain: () => this.#finishDrain(),
       measureAges: (basis) => this.#engine.measureAges(basis, readNow()),
     });
     this.#loop = new DecisionLoop({
@@ -220,6 +223,16 @@
     await this.#readiness[Symbol.asyncDispose]();
   }
 
+  /** Ends a drain once no request waits: the decision engine does not know those that have just been accepted. */
+  #finishDrain(): void {
+    const { caller, egress } = this.#listeners;
+    if (caller.pending + egress.pending + this.#work.size === 0) {
+      this.#drain.settle();
+      return;
+    }
+    setTimeout(() => this.#finishDrain(), DRAIN_CHECK_MS).unref();
+  }
+
   #publish(message: node.NodeMessage): void {
     if (message.kind === 'vmsListed') {
       this.#links.replaceAddresses(message.vms);
--- a/packages/node/test/process/relay.test.ts
+++ b/packages/node/test/process/relay.test.ts
@@ -6,6 +6,9 @@
 
 const MEBIBYTE = 1024 * 1024;
 
+/** Delay of an answer in milliseconds, longer than the close of a listener waits. */
+const ANSWER_AFTER_MS = 1_500;
+
 describe('call through two nodes', () => {
   let pair: RelayPair;
 
@@ -51,6 +54,19 @@
     expect(a.bodies.peak).to.be.greaterThan(5 * MEBIBYTE);
   });
 
+  it('guards against a planned stop that cuts off a request which was just accepted', async () => {
+    await using stopped = await RelayPair.start((_incoming, outgoing, body) => {
+      stopped.a.host.drain();
+      setTimeout(() => outgoing.writeHead(201).end(body), ANSWER_AFTER_MS);
+    });
+    const answer = fetch(`http://${stopped.a.addresses.caller}/slow`, {
+      headers: { 'to-vm': 'b' },
+    });
+    await stopped.a.host.waitDrained();
+    await stopped.a.host[Symbol.asyncDispose]();
+    expect((await answer).status).to.equal(201);
+  });
+
   it('guards against forwarding a truncated answer as complete', async () => {
     const answer = await call('/break', Buffer.from('x'));
     expect(answer.status).to.equal(502);
