Start attempts and runs only after the next read of the sockets

The same cause as for new work: a late process read an answer, gave the slot to a queued call and sent it to the instance, and read in the same turn that its caller had left. The same holds for attempts after a refusal and after a granted rate token.

Starts outside a turn of the work queue now wait for the next read, before new work, and a cancellation in between withdraws them: nothing was sent then. The start of an attempt counts its wait against its deadline, and a lost link withdraws the starts of attempts at its VM, which the decision engine gives up.

--- a/packages/node/src/connection/LinkCalls.ts
+++ b/packages/node/src/connection/LinkCalls.ts
@@ -7,6 +7,7 @@
 import { BodyReceiver, type BodyFault } from './BodyReceiver.js';
 import { BodySender, CHUNK_BYTES } from './BodySender.js';
 import { buildFrame } from './LinkStream.js';
+import { shortenDeadline } from './shortenDeadline.js';
 
 /** Maximum size of a body that is sent inside the frame of its call or answer, in bytes. */
 const MAX_INLINE_BODY_BYTES = CHUNK_BYTES;
@@ -298,9 +299,7 @@
       return;
     }
     this.#waiting.delete(callId);
-    if (frame.body.case === 'openCall' && frame.body.value.context !== undefined) {
-      frame.body.value.context.remainingMs -= waitedMs;
-    }
+    shortenDeadline(frame, waitedMs);
     this.#options.deliver(frame);
   }
 
--- a/packages/node/src/connection/index.ts
+++ b/packages/node/src/connection/index.ts
@@ -4,6 +4,7 @@
 export { PeerLinks } from './PeerLinks.js';
 export { GrpcPeerServer } from './GrpcPeerServer.js';
 export type { PeerListener } from './GrpcPeerServer.js';
+export { shortenDeadline } from './shortenDeadline.js';
 export { startListening } from './startListening.js';
 export { stopListening } from './stopListening.js';
 export { PEER_TRANSPORTS } from './peerTransports.js';
--- a/packages/node/src/process/host/CommandDispatcher.ts
+++ b/packages/node/src/process/host/CommandDispatcher.ts
@@ -2,7 +2,7 @@
 import type { node } from '@tanagerpond/core';
 import type { Frame } from '@tanagerpond/wire';
 import { Outcome } from '@tanagerpond/wire';
-import { buildFrame } from '../../connection/index.js';
+import { buildFrame, shortenDeadline } from '../../connection/index.js';
 import type { PeerLinks } from '../../connection/index.js';
 import type { RequestListener } from '../../request/index.js';
 import type { BackendPool } from '../backend/index.js';
@@ -10,6 +10,7 @@
 import type { Log, LogFields } from '../log/index.js';
 import type { Counters } from '../metrics/index.js';
 import type { ConfigurationSource } from '../../ports/index.js';
+import type { CancellableStarts } from '../work/index.js';
 
 /** Parts of the process that the dispatcher calls to execute commands. */
 export interface CommandTargets {
@@ -17,6 +18,7 @@
   readonly links: PeerLinks;
   readonly backend: BackendPool;
   readonly source: ConfigurationSource;
+  readonly starts: CancellableStarts;
   readonly store: BodyStore;
   readonly counters: Counters;
   readonly log: Log;
@@ -40,16 +42,16 @@
 
   /** @param targets - Parts of the process that the commands act on. */
   constructor(targets: CommandTargets) {
-    const { backend, source, store } = targets;
+    const { source, store, starts } = targets;
     this.#targets = targets;
     this.#handlers = {
       answerRequester: (command) => this.#answer(command),
       refuseRequester: ({ requestId, refusal, headers }) =>
         this.#refuse(requestId, refusal, headers),
-      sendRequest: (command) => this.#sendRequest(command),
+      sendRequest: (command) => this.#beginSend(command),
       sendReply: (command) => this.#sendReply(command),
-      callBackend: (command) => this.#callBackend(command),
-      cancelBackend: ({ callId }) => backend.cancel(callId),
+      callBackend: (command) => starts.start(command.callId, () => this.#callBackend(command)),
+      cancelBackend: ({ callId }) => this.#cancelBackend(callId),
       releaseBody: ({ bodyOf }) => store.release(bodyOf),
       keepBody: ({ from, to }) => this.#checkStored(store.addAlias(from, to), 'keepBody'),
       readService: () => source.readConfiguration(),
@@ -87,6 +89,24 @@
     this.#targets.listeners.some((listener) => listener.refuse(requestId, refusal, headers));
   }
 
+  /** Sends a frame; the start of an attempt waits for its turn, and its cancellation may come before that. */
+  #beginSend(command: Command<'sendRequest'>): void {
+    const { peer, frame } = command;
+    const { case: kind, value } = frame.body;
+    if (kind === 'openCall') {
+      this.#targets.starts.start(
+        value.callId,
+        (waitedMs) => {
+          shortenDeadline(frame, waitedMs);
+          this.#sendRequest(command);
+        },
+        peer,
+      );
+    } else if (kind !== 'cancelCall' || !this.#targets.starts.cancel(value.callId)) {
+      this.#sendRequest(command);
+    }
+  }
+
   #sendRequest({ peer, frame, bodyOf }: Command<'sendRequest'>): void {
     const taken = this.#takeBody(frame, bodyOf);
     if (taken.found) {
@@ -116,6 +136,15 @@
     this.#targets.backend.call(command, body);
   }
 
+  #cancelBackend(callId: string): void {
+    const { starts, backend, publish } = this.#targets;
+    if (starts.cancel(callId)) {
+      publish({ kind: 'backendResult', callId, result: { kind: 'cancelled' } });
+      return;
+    }
+    backend.cancel(callId);
+  }
+
   /** Writes a log line. Ages are computed only for lines that are written: under overload most are dropped. */
   #log({ level, part, text, fields, basis }: Command<'log'>): void {
     const { log } = this.#targets;
--- a/packages/node/src/process/host/NodeProcess.ts
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -16,7 +16,7 @@
 import { Counters, LatencyHistogram } from '../metrics/index.js';
 import { formatAddress } from '../settings/index.js';
 import type { ListenAddress, Settings } from '../settings/index.js';
-import { WorkQueue } from '../work/index.js';
+import { CancellableStarts, WorkQueue } from '../work/index.js';
 import { CommandDispatcher } from './CommandDispatcher.js';
 
 /** Options of a node process. */
@@ -79,6 +79,8 @@
 
   readonly #work: WorkQueue;
 
+  readonly #starts: CancellableStarts;
+
   readonly #links: PeerLinks;
 
   readonly #server: PeerListener;
@@ -113,6 +115,7 @@
     this.#self = { ...settings.vm, incarnation };
     this.#store = new BodyStore(settings.bodies.budget);
     this.#work = new WorkQueue({ now: readNow, log });
+    this.#starts = new CancellableStarts(this.#work);
     this.#engine = options.createDecisions({
       self: this.#self,
       startedMs: readNow(),
@@ -153,6 +156,7 @@
       publish,
       listeners: Object.values(this.#listeners),
       links: this.#links,
+      starts: this.#starts,
       backend: this.#backend,
       source: this.#source,
       finishDrain: () => this.#finishDrain(),
@@ -237,6 +241,9 @@
     if (message.kind === 'vmsListed') {
       this.#links.replaceAddresses(message.vms);
     }
+    if (message.kind === 'linkFailed' || (message.kind === 'linkDown' && !message.inbound)) {
+      this.#starts.cancelPeer(message.peer);
+    }
     if (message.kind === 'backendResult' && FAILED_EXCHANGES.has(message.result.kind)) {
       this.#health.check();
     }
--- a/packages/node/src/process/work/WorkQueue.ts
+++ b/packages/node/src/process/work/WorkQueue.ts
@@ -1,14 +1,13 @@
 import type { Log } from '../log/index.js';
+import { WorkLane } from './WorkLane.js';
+import type { WorkEntry, WorkTask } from './WorkLane.js';
 
 /**
- * Longest time for which new work is handled before the sockets are read again, in milliseconds. Cancellations, answers
- * and the ends of connections wait at most that long.
+ * Longest time for which work is handled before the sockets are read again, in milliseconds. Cancellations, answers and
+ * the ends of connections wait at most that long.
  */
 const TURN_MS = 10;
 
-/** Piece of new work; `waitedMs` is the time since it was added, in milliseconds. */
-export type WorkTask = (waitedMs: number) => void;
-
 /** Adds a piece of new work, such as a request or a call, to the work queue of the process. */
 export type AddWork = (task: WorkTask) => void;
 
@@ -18,29 +17,23 @@
   readonly log: Log;
 }
 
-interface Entry {
-  readonly task: WorkTask;
-  readonly addedMs: number;
-}
-
 /**
- * Handles new work in the order of arrival, after the sockets have been read completely and once more. A process that is
- * late reads a request, the end of its connection and cancellations in successive reads, so that by then it knows which
- * work nobody waits for. A task decides itself whether its work is still wanted.
+ * Handles work after the sockets have been read completely and once more: first what continues accepted requests, then
+ * new work, each in the order of arrival. A process that is late reads a request, the end of its connection and
+ * cancellations in successive reads, so that by then it knows which work nobody waits for. A task decides itself whether
+ * its work is still wanted.
  */
 export class WorkQueue {
   readonly #options: WorkQueueOptions;
 
-  /** Work that was added since the last turn. */
-  #added: Entry[] = [];
-
-  /** Work that may be handled, from `#position` on. */
-  #ready: Entry[] = [];
+  readonly #continued = new WorkLane();
 
-  #position = 0;
+  readonly #new = new WorkLane();
 
   #isScheduled = false;
 
+  #isHandling = false;
+
   #failures = 0;
 
   /** @param options - Clock, and the log for exceptions. */
@@ -50,7 +43,7 @@
 
   /** Number of pieces of work that wait. */
   get size(): number {
-    return this.#added.length + this.#ready.length - this.#position;
+    return this.#continued.size + this.#new.size;
   }
 
   /** Number of tasks that threw an exception. */
@@ -59,11 +52,28 @@
   }
 
   /**
-   * Adds a piece of work.
+   * Adds a piece of new work.
    * @param task - Handles the work.
    */
   add(task: WorkTask): void {
-    this.#added.push({ task, addedMs: this.#options.now() });
+    this.#add(this.#new, task);
+  }
+
+  /**
+   * Runs a task that continues an accepted request: at once within a task, otherwise after the next read and before new
+   * work.
+   * @param task - Handles the work.
+   */
+  continue(task: WorkTask): void {
+    if (this.#isHandling) {
+      task(0);
+      return;
+    }
+    this.#add(this.#continued, task);
+  }
+
+  #add(lane: WorkLane, task: WorkTask): void {
+    lane.add({ task, addedMs: this.#options.now() });
     this.#schedule();
   }
 
@@ -76,11 +86,12 @@
 
   #runTurn(): void {
     this.#isScheduled = false;
+    this.#isHandling = true;
     this.#handleReady();
-    // Work that was read just now waits for the next read.
-    this.#ready = this.#ready.slice(this.#position).concat(this.#added);
-    this.#position = 0;
-    this.#added = [];
+    this.#isHandling = false;
+    // What was read just now waits for the next read.
+    this.#continued.advance();
+    this.#new.advance();
     if (this.size > 0) {
       this.#schedule();
     }
@@ -89,22 +100,26 @@
   #handleReady(): void {
     let nowMs = this.#options.now();
     const untilMs = nowMs + TURN_MS;
-    while (this.#position < this.#ready.length && nowMs < untilMs) {
-      const { task, addedMs } = this.#ready[this.#position];
-      this.#position += 1;
-      this.#tryRun(task, nowMs - addedMs);
+    let entry = this.#take();
+    while (entry !== undefined) {
+      this.#tryRun(entry, nowMs);
       nowMs = this.#options.now();
+      entry = nowMs < untilMs ? this.#take() : undefined;
     }
   }
 
+  #take(): WorkEntry | undefined {
+    return this.#continued.take() ?? this.#new.take();
+  }
+
   /** Runs a task and logs an exception, so that a fault in one piece of work does not stop the others. */
-  #tryRun(task: WorkTask, waitedMs: number): void {
+  #tryRun({ task, addedMs }: WorkEntry, nowMs: number): void {
     try {
-      task(waitedMs);
+      task(nowMs - addedMs);
     } catch (error) {
       this.#failures += 1;
       const stack = error instanceof Error ? (error.stack ?? error.message) : String(error);
-      this.#options.log.write('error', 'decisions', 'exception in new work', { stack });
+      this.#options.log.write('error', 'decisions', 'exception in work', { stack });
     }
   }
 }
--- a/packages/node/src/process/work/index.ts
+++ b/packages/node/src/process/work/index.ts
@@ -1,2 +1,4 @@
+export { CancellableStarts } from './CancellableStarts.js';
+export type { WorkTask } from './WorkLane.js';
 export { WorkQueue } from './WorkQueue.js';
-export type { AddWork, WorkTask } from './WorkQueue.js';
+export type { AddWork } from './WorkQueue.js';
--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -252,15 +252,15 @@
   }
 
   /** Announces a request that has waited for its turn, unless its client has left meanwhile. */
-  #takeTurn(request: CompleteRequest): void {
-    const { incoming, outgoing, body } = request;
+  #takeTurn(complete: CompleteRequest): void {
+    const { incoming, outgoing, body } = complete;
     this.#waiting -= 1;
     if (outgoing.destroyed || hasLeft(incoming)) {
       this.#options.counters.count(`${this.#options.part}_left_before_turn`);
       body.reservation.release();
       return;
     }
-    this.#announce(request);
+    this.#announce(complete);
   }
 
   #announce({ incoming, outgoing, arrivedMs, body }: CompleteRequest): void {
--- a/packages/node/test/connection/LinkCalls.test.ts
+++ b/packages/node/test/connection/LinkCalls.test.ts
@@ -27,8 +27,8 @@
 
   nowMs = 0;
 
-  /** Runs new work at once, unless a queue takes its place. */
-  addWork: AddWork = (task) => task(0);
+  /** Handles new work; undefined runs it at once. */
+  addWork: AddWork | undefined;
 
   readonly calls: LinkCalls;
 
@@ -41,7 +41,7 @@
       maxBody: MAX_BODY,
       counters: this.counters,
       now: () => this.nowMs,
-      addWork: (task) => this.addWork(task),
+      addWork: (task) => (this.addWork ?? runNow)(task),
       write: (frame, done) => {
         this.written.push(frame);
         done?.();
@@ -63,6 +63,10 @@
   }
 }
 
+function runNow(task: WorkTask): void {
+  task(0);
+}
+
 function buildOpen(callId: string, bodySize: number): Frame {
   return buildFrame({ case: 'openCall', value: { callId, bodySize } });
 }
--- a/packages/node/test/process/work/WorkQueue.test.ts
+++ b/packages/node/test/process/work/WorkQueue.test.ts
@@ -59,7 +59,7 @@
     add('a');
     await drain();
     expect(steps).to.include('a 0');
-    expect(errors).to.deep.equal(['exception in new work']);
+    expect(errors).to.deep.equal(['exception in work']);
     expect(queue.failures).to.equal(1);
   });
 });
