Keep the rate limit that a backend server names in its answers

Cause: no part of the product knew such a limit. An instance's slots bounded what ran at once, not what ran in a second.

An answer without the limit ends it; one whose head is older than the newest has no effect. Malformed values are warned about once and have no effect. Answers report the limit and the concurrency that it leaves, so that trees are shed by it, and entry nodes avoid the VM until its reported queue is served. A restarted node gets the limit from its peers with their calls until the backend server has answered.

Ruled out: shares of the limit at the entry nodes; one node passes all calls of a backend server.

--- a/packages/core/src/process/admission/AdmissionItem.ts
+++ b/packages/core/src/process/admission/AdmissionItem.ts
@@ -60,4 +60,6 @@
   readonly inFlight: number;
   readonly queued: number;
   readonly limit: number;
+  /** Rate limit that the backend server names, in calls a second; 0 if none. */
+  readonly rateLimit: number;
 }
--- a/packages/core/src/process/admission/AdmissionQueue.ts
+++ b/packages/core/src/process/admission/AdmissionQueue.ts
@@ -16,6 +16,7 @@
 import { DeclaredLimit } from './DeclaredLimit.js';
 import type { SlotLimit } from './SlotLimit.js';
 import { AdmissionLevelController } from './AdmissionLevelController.js';
+import { RatePacer } from './RatePacer.js';
 import { RunningCalls } from './RunningCalls.js';
 import { ServiceTimeEstimate } from './ServiceTimeEstimate.js';
 import { WaitEstimate } from './WaitEstimate.js';
@@ -58,6 +59,8 @@
 
   readonly #limit: SlotLimit;
 
+  readonly #pacer = new RatePacer();
+
   readonly #preempts: boolean;
 
   readonly #wait: WaitEstimate;
@@ -92,7 +95,7 @@
     this.#wait = new WaitEstimate({
       classes: this.#classes,
       running: this.#running,
-      limit: this.#limit,
+      limit: { read: (nowMs) => this.#readPacedLimit(nowMs) },
       serviceTime: this.#serviceTime,
       isNewestFirst: order === 'newest',
     });
@@ -108,6 +111,26 @@
     this.#capacity = limits.queue;
   }
 
+  /**
+   * Applies the rate limit that the backend server named in an answer.
+   * @param perSecond - Calls a second; undefined if it named none.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  setRateLimit(perSecond: number | undefined, nowMs: number): readonly AdmissionDecision[] {
+    const isChanged = perSecond !== this.#pacer.perSecond;
+    this.#pacer.configure(perSecond, nowMs);
+    return isChanged ? this.#dispatch(nowMs) : [];
+  }
+
+  /**
+   * Adopts a rate limit that a peer has heard, while the backend server has not answered this process.
+   * @param perSecond - Calls a second.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  adoptRateLimit(perSecond: number, nowMs: number): void {
+    this.#pacer.adopt(perSecond, nowMs);
+  }
+
   /**
    * Adds a call to the queue, or refuses it if the backend server is unavailable or the deadline cannot be met.
    * @param item - The call.
@@ -215,12 +238,16 @@
     return this.#levelController.read();
   }
 
-  /** Reads the load that is sent with answers. */
-  readLoad(): QueueLoad {
+  /**
+   * Reads the load that is sent with answers.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  readLoad(nowMs: number): QueueLoad {
     return {
       inFlight: this.#running.size,
       queued: this.#classes.size,
-      limit: this.#limit.read(),
+      limit: this.#readPacedLimit(nowMs),
+      rateLimit: this.#pacer.perSecond ?? 0,
     };
   }
 
@@ -229,7 +256,7 @@
     return {
       backend: this.#backend,
       backendSinceMs: nowMs - this.#backendSinceMs,
-      load: this.readLoad(),
+      load: this.readLoad(nowMs),
       serviceTimeMs: this.#serviceTime.readMeanMs(nowMs),
       level: this.readLevel(nowMs),
       limit: this.#limit.snapshot(),
@@ -238,6 +265,12 @@
     };
   }
 
+  /** Reads how many calls run at once within the concurrency limit and the rate limit. */
+  #readPacedLimit(nowMs: number): number {
+    const meanMs = this.#serviceTime.readMeanMs(nowMs);
+    return Math.min(this.#limit.read(), this.#pacer.computeConcurrency(meanMs));
+  }
+
   #isDownForLong(nowMs: number): boolean {
     return this.#backend === 'down' && nowMs - this.#backendSinceMs >= DOWN_GRACE_MS;
   }
@@ -281,7 +314,8 @@
 
   #canStart(nowMs: number): boolean {
     const isFull = this.#running.size >= this.#limit.read();
-    if (this.#backend !== 'up' || isFull || this.#running.hasSuspect()) {
+    const isPaced = !this.#pacer.canTake(nowMs);
+    if (this.#backend !== 'up' || isFull || isPaced || this.#running.hasSuspect()) {
       return false;
     }
     const next = this.#classes.findNext(nowMs);
@@ -293,6 +327,7 @@
       return this.#refuse(item, 'deadlineExpired', nowMs);
     }
     this.#running.begin(item, nowMs);
+    this.#pacer.take();
     return { kind: 'run', callId: item.callId };
   }
 
--- a/packages/core/src/process/admission/WaitEstimate.ts
+++ b/packages/core/src/process/admission/WaitEstimate.ts
@@ -1,6 +1,5 @@
 import type { AdmissionItem } from './AdmissionItem.js';
 import type { PriorityQueues } from './PriorityQueues.js';
-import type { SlotLimit } from './SlotLimit.js';
 import type { RunningCalls } from './RunningCalls.js';
 import type { ServiceTimeEstimate } from './ServiceTimeEstimate.js';
 
@@ -10,13 +9,18 @@
  */
 const BACKLOG_MS = 100;
 
+/** Limit of the calls that run at once; `nowMs` is monotonic. */
+interface ReadableLimit {
+  read(nowMs: number): number;
+}
+
 /** Estimates how long queued calls wait, from the service time, the concurrency limit and the queue. */
 export class WaitEstimate {
   readonly #classes: PriorityQueues;
 
   readonly #running: RunningCalls;
 
-  readonly #limit: SlotLimit;
+  readonly #limit: ReadableLimit;
 
   readonly #serviceTime: ServiceTimeEstimate;
 
@@ -26,7 +30,7 @@
   constructor(parts: {
     classes: PriorityQueues;
     running: RunningCalls;
-    limit: SlotLimit;
+    limit: ReadableLimit;
     serviceTime: ServiceTimeEstimate;
     isNewestFirst: boolean;
   }) {
@@ -62,11 +66,11 @@
     if (
       this.#isNewestFirst ||
       this.#classes.hasLowerPriority(item.priority) ||
-      this.#running.size < this.#limit.read()
+      this.#running.size < this.#limit.read(nowMs)
     ) {
       return false;
     }
-    const unitMs = this.#serviceTime.readMsPerCost(nowMs) / this.#limit.read();
+    const unitMs = this.#serviceTime.readMsPerCost(nowMs) / this.#limit.read(nowMs);
     return this.isTooLateToStart(item, nowMs + this.#classes.computeCostAhead(item) * unitMs);
   }
 
@@ -84,7 +88,7 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   computeBacklogMs(nowMs: number): number {
-    return (this.#classes.size * this.#serviceTime.readMeanMs(nowMs)) / this.#limit.read();
+    return (this.#classes.size * this.#serviceTime.readMeanMs(nowMs)) / this.#limit.read(nowMs);
   }
 
   /**
@@ -102,7 +106,7 @@
    */
   computeQueueCapacity(declared: number, nowMs: number): number {
     const meanMs = this.#serviceTime.readMeanMs(nowMs);
-    const limit = this.#limit.read();
+    const limit = this.#limit.read(nowMs);
     const served = meanMs === 0 ? declared : Math.ceil((limit * BACKLOG_MS) / meanMs);
     return Math.min(declared, Math.max(limit, served));
   }
--- a/packages/core/src/process/admission/index.ts
+++ b/packages/core/src/process/admission/index.ts
@@ -1,3 +1,4 @@
+export { isRateLimit } from './RatePacer.js';
 export type * from './AdmissionItem.js';
 export type * from './AdmissionPolicy.js';
 export * from './AdmissionQueue.js';
--- a/packages/core/src/process/node/NodeMessage.ts
+++ b/packages/core/src/process/node/NodeMessage.ts
@@ -28,6 +28,16 @@
  */
 export type AnswerFraming = 'length' | 'chunked' | 'bodiless' | 'close';
 
+/** What a backend server announces about itself in the head of an answer. */
+export interface BackendNotice {
+  /** Monotonic time at which the head was read, in milliseconds. */
+  readonly headMs: number;
+  /** Calls a second that it takes from all VMs together, as long as its answers say so; undefined if it names none. */
+  readonly rateLimit?: number;
+  /** It names a rate limit that cannot be read, which has no effect. */
+  readonly isRateLimitMalformed: boolean;
+}
+
 /** Result of a call to the backend server. */
 export type BackendResult =
   | {
@@ -38,6 +48,7 @@
       readonly framing: AnswerFraming;
       /** The backend server reported that it shed the request without running it (`tanagerpond-shed: not-run`). */
       readonly shed: boolean;
+      readonly notice?: BackendNotice;
     }
   /** No byte of the request was sent, because the connection was refused or timed out. */
   | { readonly kind: 'notSent' }
--- a/packages/core/src/process/node/NodeStateMachine.ts
+++ b/packages/core/src/process/node/NodeStateMachine.ts
@@ -4,6 +4,7 @@
 import * as documents from '../documents/index.js';
 import type * as shares from '../shares/index.js';
 import { BackendHealth } from './BackendHealth.js';
+import { BackendNotices } from './BackendNotices.js';
 import { createBackendLog } from './createBackendLog.js';
 import { createBundleRejectedLog } from './createBundleRejectedLog.js';
 import { createNodeServices, type NodeStateMachineOptions } from './createNodeServices.js';
@@ -12,7 +13,7 @@
 import { FrameDispatcher } from './FrameDispatcher.js';
 import { measureAges } from './measureAges.js';
 import type { NodeCommand } from './NodeCommand.js';
-import type { NodeMessage } from './NodeMessage.js';
+import type { BackendResult, NodeMessage } from './NodeMessage.js';
 import type { NodeServices } from './NodeServices.js';
 import { PeerLinks } from './PeerLinks.js';
 import { snapshotServices } from './snapshotServices.js';
@@ -35,6 +36,8 @@
 
   readonly #health = new BackendHealth();
 
+  readonly #notices: BackendNotices;
+
   readonly #drain: DrainController;
 
   readonly #configuration: configuration.ConfigurationTracker;
@@ -67,6 +70,7 @@
     });
     this.#isSigned = options.unsignedBundles !== true;
     const { outbox } = this.#services;
+    this.#notices = new BackendNotices(this.#services.admission, outbox);
     this.#drain = new DrainController(options.self, this.#links, outbox, options.drainLimitMs);
     const table = new calls.InboundCallTable();
     this.#outboundSide = new calls.OutboundSide(this.#services, table);
@@ -176,6 +180,7 @@
       linkFailed: ({ peer }, nowMs) => this.#handleLinkFailed(peer, nowMs),
       backendResult: ({ callId, result }, nowMs) => {
         this.#health.recordResult(result, nowMs);
+        this.#receiveNotice(result, nowMs);
         this.#inboundSide.runs.receiveResult(callId, result, nowMs);
       },
       backendHealth: ({ state }, nowMs) => this.#handleHealth(state, nowMs),
@@ -279,6 +284,12 @@
     this.#outboundSide.attempts.recordLinkFailed(peer, nowMs);
   }
 
+  #receiveNotice(result: BackendResult, nowMs: number): void {
+    if (result.kind === 'answered' && result.notice !== undefined) {
+      this.#inboundSide.runs.apply(this.#notices.receive(result.notice, nowMs), nowMs);
+    }
+  }
+
   #handleHealth(
     report: Extract<NodeMessage, { kind: 'backendHealth' }>['state'],
     nowMs: number,
--- a/packages/core/src/process/routing/Router.ts
+++ b/packages/core/src/process/routing/Router.ts
@@ -99,6 +99,14 @@
     this.#resolveStatistics(vm, nowMs).recordLink(up, nowMs);
   }
 
+  /**
+   * Finds the rate limit that a VM last reported, in calls a second; 0 if none.
+   * @param vm - Name of the VM.
+   */
+  findRateLimit(vm: string): number {
+    return this.#statistics.get(vm)?.rateLimit ?? 0;
+  }
+
   /** Returns the statistics of the busiest VMs for the state dump; `nowMs` is monotonic. */
   snapshot(nowMs: number): object {
     const busiest = [...this.#statistics].sort(
@@ -234,7 +242,9 @@
   // If every link has broken recently, one is tried anyway rather than refusing the call because no VM is available.
   const reachable = linked.length > 0 ? linked : allowed;
   const kept = reachable.filter(({ statistics }) => !statistics.isEjected(nowMs));
-  return kept.length > 0 ? kept : reachable;
+  const sound = kept.length > 0 ? kept : reachable;
+  const withRoom = sound.filter(({ statistics }) => statistics.hasRoom(nowMs));
+  return withRoom.length > 0 ? withRoom : sound;
 }
 
 function computeMedianMs(candidates: readonly Candidate[]): number {
--- a/packages/core/src/process/routing/RoutingOutcome.ts
+++ b/packages/core/src/process/routing/RoutingOutcome.ts
@@ -3,6 +3,8 @@
   readonly inFlight: number;
   readonly queued: number;
   readonly limit: number;
+  /** Rate limit of the backend server in calls a second; 0 if none. */
+  readonly rateLimit: number;
 }
 
 /**
--- a/packages/core/src/process/routing/VmStatistics.ts
+++ b/packages/core/src/process/routing/VmStatistics.ts
@@ -38,6 +38,8 @@
 /** After this time without an ejection, the next one has the first length again. */
 const EJECTION_RESET_MS = 300_000;
 
+const SECOND_MS = 1_000;
+
 /** A VM whose link is down becomes a candidate again after this time, so that the link is tried again. */
 const LINK_RETRY_MS = 1000;
 
@@ -53,6 +55,12 @@
 
   #load: LoadHint | undefined;
 
+  /** Rate limit that the VM last reported, in calls a second; 0 if none. It outlives a restart of the VM's node. */
+  #rateLimit = 0;
+
+  /** Time until which the reported queue occupies a VM with a rate limit, in monotonic milliseconds. */
+  #fullUntilMs = -Infinity;
+
   #observedMs: number;
 
   #startedMs: number;
@@ -94,6 +102,16 @@
     return this.#failureScore;
   }
 
+  /** Rate limit that the VM last reported, in calls a second; 0 if none. */
+  get rateLimit(): number {
+    return this.#rateLimit;
+  }
+
+  /** Returns whether a VM with a rate limit has served the queue that it last reported; `nowMs` is monotonic. */
+  hasRoom(nowMs: number): boolean {
+    return nowMs >= this.#fullUntilMs;
+  }
+
   /** Records that a call was sent; `nowMs` is monotonic. */
   recordSent(nowMs: number): void {
     this.#inFlight += 1;
@@ -107,7 +125,7 @@
    */
   recordOutcome(outcome: RoutingOutcome, nowMs: number): void {
     this.#inFlight = Math.max(0, this.#inFlight - 1);
-    this.#load = outcome.load ?? this.#load;
+    this.#recordLoad(outcome.load, nowMs);
     if (outcome.kind === 'cancelled') {
       return;
     }
@@ -192,6 +210,16 @@
     };
   }
 
+  #recordLoad(load: LoadHint | undefined, nowMs: number): void {
+    if (load === undefined) {
+      return;
+    }
+    this.#load = load;
+    this.#rateLimit = load.rateLimit;
+    this.#fullUntilMs =
+      load.rateLimit > 0 ? nowMs + (load.queued / load.rateLimit) * SECOND_MS : -Infinity;
+  }
+
   #computeQueuePenalty(nowMs: number): number {
     if (this.#load === undefined) {
       return 0;
--- a/packages/core/src/request/calls/AttemptSender.ts
+++ b/packages/core/src/request/calls/AttemptSender.ts
@@ -87,7 +87,8 @@
     counters.count('attempts');
     router.recordSent(attempt.vm, nowMs);
     const targetIncarnation = call.idempotencyKey === undefined ? '' : (attempt.incarnation ?? '');
-    const value = createOpenCall(call, attempt, targetIncarnation, nowMs);
+    const rateLimit = router.findRateLimit(attempt.vm);
+    const value = createOpenCall(call, attempt, targetIncarnation, rateLimit, nowMs);
     const bodyOf = value.bodySize > 0 ? call.requestId : undefined;
     outbox.sendRequest(attempt.vm, { case: 'openCall', value }, bodyOf);
   }
--- a/packages/core/src/request/calls/InboundCallHandler.ts
+++ b/packages/core/src/request/calls/InboundCallHandler.ts
@@ -123,6 +123,7 @@
     nowMs: number,
   ): void {
     const { deduplicationKey } = accepted;
+    this.#services.admission.adoptRateLimit(frame.rateLimit, nowMs);
     if (deduplicationKey !== undefined && this.#answerRepeat(address, deduplicationKey, nowMs)) {
       this.#services.outbox.add({ kind: 'releaseBody', bodyOf });
       return;
--- a/packages/core/src/request/calls/InboundReplies.ts
+++ b/packages/core/src/request/calls/InboundReplies.ts
@@ -52,7 +52,7 @@
       bodySize: answer.bodySize,
       replayed: answer.replayed,
       unspentAllowance: call?.allowance.remaining ?? 0,
-      load: this.#readLoad(),
+      load: this.#readLoad(nowMs),
       levels: this.#listLevels(call, nowMs),
       demands: this.#listDemands(address, call, nowMs),
       body: new Uint8Array(0),
@@ -94,14 +94,14 @@
       outcome: encodeOutcome(refusal.outcome),
       retryAfterMs: refusal.retryAfterMs ?? 0,
       unspentAllowance: call?.allowance.remaining ?? 0,
-      load: this.#readLoad(),
+      load: this.#readLoad(nowMs),
       levels: this.#listLevels(call, nowMs),
     };
     this.#services.outbox.sendReply(address.peer, { case: 'refused', value });
   }
 
-  #readLoad(): Load {
-    return { $typeName: 'tanagerpond.link.v1.Load', ...this.#services.admission.readLoad() };
+  #readLoad(nowMs: number): Load {
+    return { $typeName: 'tanagerpond.link.v1.Load', ...this.#services.admission.readLoad(nowMs) };
   }
 
   #listDemands(
@@ -113,7 +113,7 @@
     if (callTrees === undefined || call === undefined) {
       return [];
     }
-    const utilization = computeUtilization(admission.readLoad());
+    const utilization = computeUtilization(admission.readLoad(nowMs));
     return callTrees.reports
       .create(peer, call.route.name, utilization, nowMs)
       .map((demand) => ({ $typeName: 'tanagerpond.link.v1.ServiceDemand', ...demand }));
--- a/packages/core/src/request/calls/createOpenCall.ts
+++ b/packages/core/src/request/calls/createOpenCall.ts
@@ -10,12 +10,14 @@
  * @param call - Call to attempt.
  * @param attempt - Attempt to start.
  * @param targetIncarnation - The only incarnation that may run the call; empty when any may.
+ * @param rateLimit - Rate limit that the VM last reported, in calls a second; 0 if none.
  * @param nowMs - Monotonic time, in milliseconds.
  */
 export function createOpenCall(
   call: OutboundCall,
   attempt: Attempt,
   targetIncarnation: string,
+  rateLimit: number,
   nowMs: number,
 ): OpenCall {
   const { context } = call;
@@ -47,5 +49,6 @@
     refuseReason: call.pendingRefusal?.reason ?? '',
     suspect: false,
     body: NO_BYTES,
+    rateLimit,
   };
 }
--- a/packages/core/test/process/admission/AdmissionQueue.property.test.ts
+++ b/packages/core/test/process/admission/AdmissionQueue.property.test.ts
@@ -51,7 +51,7 @@
     this.#nowMs += value.gapMs;
     this.#order += 1;
     this.check(this.#apply(value));
-    expect(this.queue.readLoad()).to.include({
+    expect(this.queue.readLoad(this.#nowMs)).to.include({
       inFlight: this.#running.size,
       queued: this.#waiting.size,
     });
--- a/packages/core/test/process/routing/Router.test.ts
+++ b/packages/core/test/process/routing/Router.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import type { VmIdentity, VmRecord } from '../../../src/process/membership/index.js';
 import { Membership } from '../../../src/process/membership/index.js';
-import { Router } from '../../../src/process/routing/index.js';
+import { Router, type LoadHint } from '../../../src/process/routing/index.js';
 import { createRandom } from '../../../bench/createRandom.js';
 
 const SELF: VmIdentity = {
@@ -84,8 +84,8 @@
   }
 }
 
-function createLoad(): { inFlight: number; queued: number; limit: number } {
-  return { inFlight: 4, queued: 0, limit: 40 };
+function createLoad(): LoadHint {
+  return { inFlight: 4, queued: 0, limit: 40, rateLimit: 0 };
 }
 
 function count(counts: Map<string, number>, vm: string): number {
@@ -181,6 +181,20 @@
     expect(count(traffic.run(1000), 'vm0')).to.be.within(1, 120);
   });
 
+  it('guards against calls that queue at a VM at its rate limit while another VM has room', () => {
+    const { router } = new Traffic(['a', 'a']);
+    const load = { inFlight: 1, queued: 3, limit: 1, rateLimit: 10 };
+    router.recordSent('vm0', 0);
+    router.recordOutcome('vm0', { kind: 'answered', latencyMs: 1, load }, 0);
+    router.recordSent('vm1', 0);
+    router.recordOutcome('vm1', { kind: 'answered', latencyMs: 1_000, load: createLoad() }, 0);
+    const choose = (nowMs: number): readonly (string | undefined)[] =>
+      Array.from({ length: 100 }, () => router.choose(SERVICE, new Set(), nowMs)?.name);
+    expect(new Set(choose(299))).to.deep.equal(new Set(['vm1']));
+    expect(new Set(choose(300))).to.include('vm0');
+    expect(router.findRateLimit('vm0')).to.equal(10);
+  });
+
   it('guards against the selection of a leaving, excluded or unreachable VM', () => {
     const traffic = new Traffic(['a', 'a', 'b']);
     traffic.membership.markLeaving('vm0', '01');
--- a/packages/node/src/ports/BackendAdapter.ts
+++ b/packages/node/src/ports/BackendAdapter.ts
@@ -1,4 +1,5 @@
 import type { node } from '@tanagerpond/core';
+import type { NamedRateLimit } from './readRateLimit.js';
 
 /** Health of a backend server as the decision engine receives it. */
 export type BackendHealthState = Extract<node.NodeMessage, { kind: 'backendHealth' }>['state'];
@@ -9,6 +10,8 @@
   readonly mismatched: boolean;
   /** The backend server proves that it did not run the request. */
   readonly notRun: boolean;
+  /** Rate limit that the backend server names in the answer. */
+  readonly rateLimit: NamedRateLimit;
   /** Headers to forward to the caller. */
   readonly headers: readonly node.HeaderPair[];
 }
--- a/packages/node/src/ports/nativeBackendAdapter.ts
+++ b/packages/node/src/ports/nativeBackendAdapter.ts
@@ -1,9 +1,16 @@
 import * as z from 'zod';
 import type { BackendAdapter, BackendHealthState } from './BackendAdapter.js';
+import { readRateLimit } from './readRateLimit.js';
 
 /** Header of an answer in which a backend server states that it shed the request without running it. */
 const SHED_HEADER = 'tanagerpond-shed';
 
+/** Header of an answer in which a backend server names the requests a second that it takes, as a decimal number. */
+const RATE_LIMIT_HEADER = 'tanagerpond-rate-limit';
+
+/** Headers between a node and its backend server, which are not forwarded to callers. */
+const OWN_HEADERS: ReadonlySet<string> = new Set([SHED_HEADER, RATE_LIMIT_HEADER]);
+
 const SHED_NOT_RUN = 'not-run';
 
 const SHED_STATUS = 503;
@@ -20,7 +27,8 @@
     notRun:
       status === SHED_STATUS &&
       headers.some(([name, value]) => name === SHED_HEADER && value === SHED_NOT_RUN),
-    headers: headers.filter(([name]) => name !== SHED_HEADER),
+    rateLimit: readRateLimit(headers, RATE_LIMIT_HEADER),
+    headers: headers.filter(([name]) => !OWN_HEADERS.has(name)),
   }),
   readHealth: (status, body) => (status === 200 ? readState(body) : 'unreachable'),
 };
--- a/packages/node/src/process/backend/BackendExchange.ts
+++ b/packages/node/src/process/backend/BackendExchange.ts
@@ -10,6 +10,14 @@
 /** Lowest status of a final answer; answers with lower ones are informational. */
 const FIRST_FINAL_STATUS = 200;
 
+/** Stands for the answer before its head was read. */
+const NO_ANSWER: InterpretedAnswer = {
+  mismatched: false,
+  notRun: false,
+  rateLimit: 'none',
+  headers: [],
+};
+
 /** Options of one request to the backend server. */
 export interface BackendExchangeOptions {
   readonly callId: string;
@@ -21,6 +29,8 @@
   /** Maximum size of the answer's body, in bytes. */
   readonly maxAnswer: number;
   readonly store: BodyStore;
+  /** Returns the monotonic time in milliseconds. */
+  readonly now: () => number;
   /** Called exactly once, whatever the result. A complete answer is in the store under the call id by then. */
   readonly onResult: (result: node.BackendResult) => void;
 }
@@ -43,7 +53,10 @@
 
   #status = 0;
 
-  #interpreted: InterpretedAnswer = { mismatched: false, notRun: false, headers: [] };
+  #interpreted: InterpretedAnswer = NO_ANSWER;
+
+  /** Monotonic time at which the head of the answer was read, in milliseconds. */
+  #headMs = 0;
 
   #framing: node.AnswerFraming = 'close';
 
@@ -75,6 +88,7 @@
     }
     const raw = parseRawHeaders(controller.rawHeaders as readonly Buffer[]);
     this.#status = status;
+    this.#headMs = this.#options.now();
     this.#interpreted = this.#options.adapter.readAnswer(
       { status, headers: identity.removeConnectionHeaders(raw) },
       this.#options.sent,
@@ -127,7 +141,8 @@
     const status = this.#status;
     const bodySize = this.#body.size;
     const framing = this.#framing;
-    this.#finish({ kind: 'answered', status, headers, bodySize, framing, shed: notRun });
+    const notice = createNotice(this.#interpreted, this.#headMs);
+    this.#finish({ kind: 'answered', status, headers, bodySize, framing, shed: notRun, notice });
   }
 
   onResponseError(): void {
@@ -159,3 +174,11 @@
     this.#options.onResult(result);
   }
 }
+
+function createNotice({ rateLimit }: InterpretedAnswer, headMs: number): node.BackendNotice {
+  return {
+    headMs,
+    isRateLimitMalformed: rateLimit === 'malformed',
+    ...(typeof rateLimit === 'number' ? { rateLimit } : {}),
+  };
+}
--- a/packages/node/src/process/backend/BackendPool.ts
+++ b/packages/node/src/process/backend/BackendPool.ts
@@ -17,6 +17,8 @@
   readonly connectLimitMs: number;
   readonly adapter: BackendAdapter;
   readonly store: BodyStore;
+  /** Returns the monotonic time in milliseconds. */
+  readonly now: () => number;
   readonly counters: Counters;
   readonly publish: (message: node.NodeMessage) => void;
 }
@@ -55,7 +57,7 @@
    */
   call(call: BackendCall, body: BodyReference): void {
     const { callId, method, target, timeoutMs, maxAnswer } = call;
-    const { store, counters, publish, adapter } = this.#options;
+    const { store, counters, publish, adapter, now } = this.#options;
     const headers = adapter.writeRequest(
       identity
         .removeConnectionHeaders(call.headers)
@@ -69,6 +71,7 @@
       timeoutMs,
       maxAnswer,
       store,
+      now,
       onResult: (result) => {
         if (this.#exchanges.get(callId) === exchange) {
           this.#exchanges.delete(callId);
--- a/packages/node/test/process/backend/BackendPool.test.ts
+++ b/packages/node/test/process/backend/BackendPool.test.ts
@@ -13,6 +13,9 @@
 /** Answers one raw HTTP request; the text has its request line and headers. */
 type RawHandler = (socket: Socket, text: string) => void;
 
+/** Monotonic time at which the heads of all answers are read, in milliseconds. */
+const HEAD_MS = 7;
+
 describe('BackendPool and HealthPoller', () => {
   let server: Server;
   let address: string;
@@ -54,6 +57,7 @@
       connectLimitMs: 200,
       store,
       counters: new Counters(),
+      now: () => HEAD_MS,
       publish: (message) => {
         if (message.kind === 'backendResult') {
           expect(results.has(message.callId)).to.equal(false);
@@ -114,6 +118,7 @@
       bodySize: 2,
       framing: 'length',
       shed: false,
+      notice: { headMs: HEAD_MS, isRateLimitMalformed: false },
     });
     expect(store.takeReference('c')?.bytes.toString()).to.equal('ok');
     expect(requests[0].toLowerCase()).to.match(/^post \/x http\/1.1\r\n/);
--- a/packages/node/test/process/backend/resetAnswers.test.ts
+++ b/packages/node/test/process/backend/resetAnswers.test.ts
@@ -35,6 +35,7 @@
       connectLimitMs: 1_000,
       store: new BodyStore(100_000),
       counters: new Counters(),
+      now: () => performance.now(),
       publish: (message) => {
         if (message.kind === 'backendResult') {
           results.push(message.result);
