Send nothing to a backend server that has said in an answer that it leaves

Callers' requests reached an instance after its answers had said that it leaves (DRAIN), because only its entry in the store and its health endpoint counted.

Change: the node beside it takes the announcement from any answer, errors too, refuses what is queued and announces it to all peers. It holds until the list names another start of the backend server; health reports do not end it. Peers remember the start that is leaving, so a restart of the node, a lost link or a list that names it again does not bring it back, and a later start at the same VM is not affected. Where the list identifies no start, it holds until the backend server was unreachable and is healthy again.

Found by reading: every mark as leaving was tied to the process of the node and was cleared by its restart.

--- a/packages/core/src/process/membership/Membership.ts
+++ b/packages/core/src/process/membership/Membership.ts
@@ -1,9 +1,13 @@
+import * as bounds from '../bounds/index.js';
 import { listByRendezvous } from './listByRendezvous.js';
 import type { VmIdentity, VmRecord } from './VmRecord.js';
 
 /** Maximum number of VMs of one service that a node sends calls to, so that the number of its links stays bounded. */
 const CANDIDATES_PER_SERVICE = 16;
 
+/** Maximum number of VMs whose leaving backend server is remembered. */
+const MAX_LEAVING_BACKENDS = 4_096;
+
 /** Maximum number of VMs in a snapshot. */
 const SNAPSHOT_VMS = 64;
 
@@ -23,6 +27,9 @@
   /** Incarnation that announced that it is leaving, by VM. */
   readonly #leaving = new Map<string, string>();
 
+  /** Start of the backend server that announced that it is leaving, by VM. It outlives the process of the VM's node. */
+  readonly #leavingBackends = new Map<string, string>();
+
   /** Cached results of `findCandidates`. */
   readonly #candidates = new Map<string, readonly VmRecord[]>();
 
@@ -35,7 +42,8 @@
   }
 
   /**
-   * Replaces the list of VMs. VMs that are no longer listed lose their mark as leaving.
+   * Replaces the list of VMs. VMs that are no longer listed lose their mark as leaving; a leaving backend server stays
+   * marked until the list names another start of it.
    * @param vms - Live and leaving VMs.
    * @param nowMs - Monotonic time, in milliseconds; undefined if the list was derived from the last one that was read,
    * whose age it keeps.
@@ -49,6 +57,12 @@
     [...this.#leaving.keys()]
       .filter((name) => !this.#vms.has(name))
       .forEach((name) => this.#leaving.delete(name));
+    this.#leavingBackends.forEach((incarnation, name) => {
+      const listed = this.#vms.get(name)?.backendIncarnation;
+      if (listed !== undefined && listed !== incarnation) {
+        this.#leavingBackends.delete(name);
+      }
+    });
     this.#candidates.clear();
   }
 
@@ -93,6 +107,19 @@
     this.#candidates.clear();
   }
 
+  /**
+   * Records that the backend server of a VM is leaving. It is identified by the list; without an identity, only the
+   * announcement of its node counts.
+   * @param vm - Name of the VM.
+   */
+  markBackendLeaving(vm: string): void {
+    const incarnation = this.#vms.get(vm)?.backendIncarnation;
+    if (incarnation !== undefined) {
+      bounds.setWithLimit(this.#leavingBackends, vm, incarnation, MAX_LEAVING_BACKENDS);
+      this.#candidates.clear();
+    }
+  }
+
   /**
    * Records that the link to a process was lost. A process that was leaving has then ended, so its mark as leaving is
    * cleared; otherwise this node would never connect to the process that replaces it.
@@ -101,7 +128,8 @@
    */
   recordLinkLost(vm: string, incarnation: string): void {
     if (this.#leaving.get(vm) === incarnation) {
-      this.clearLeaving(vm);
+      this.#leaving.delete(vm);
+      this.#candidates.clear();
     }
   }
 
@@ -111,6 +139,7 @@
    */
   clearLeaving(vm: string): void {
     this.#leaving.delete(vm);
+    this.#leavingBackends.delete(vm);
     this.#candidates.clear();
   }
 
@@ -137,7 +166,7 @@
    * @param vm - Name of the VM.
    */
   isLeaving(vm: string): boolean {
-    return this.#leaving.has(vm) || this.#vms.get(vm)?.state === 'leaving';
+    return this.#hasAnnouncedLeaving(vm) || this.#vms.get(vm)?.state === 'leaving';
   }
 
   /**
@@ -187,11 +216,16 @@
       count: this.#vms.size,
       vms: own.slice(0, SNAPSHOT_VMS),
       announcedLeaving: [...this.#leaving.keys()].slice(0, SNAPSHOT_VMS),
+      leavingBackends: [...this.#leavingBackends.keys()].slice(0, SNAPSHOT_VMS),
     };
   }
 
+  #hasAnnouncedLeaving(vm: string): boolean {
+    return this.#leaving.has(vm) || this.#leavingBackends.has(vm);
+  }
+
   #selectCandidates(service: string): readonly VmRecord[] {
-    const usable = this.findByService(service).filter((vm) => !this.#leaving.has(vm.name));
+    const usable = this.findByService(service).filter((vm) => !this.#hasAnnouncedLeaving(vm.name));
     if (usable.length <= CANDIDATES_PER_SERVICE) {
       return usable;
     }
--- a/packages/core/src/process/membership/VmRecord.ts
+++ b/packages/core/src/process/membership/VmRecord.ts
@@ -8,6 +8,8 @@
   readonly state: 'live' | 'leaving';
   /** Number of requests that its backend server runs at the same time, if the list declares it. */
   readonly slots?: number;
+  /** Identifies one start of its backend server, if the list tells. */
+  readonly backendIncarnation?: string;
 }
 
 /** The VM that a node runs on. */
--- a/packages/core/src/process/node/BackendHealth.ts
+++ b/packages/core/src/process/node/BackendHealth.ts
@@ -32,6 +32,9 @@
 
   #sinceMs = 0;
 
+  /** The start of the backend server that is leaving; `incarnation` is undefined if the list identifies none. */
+  #leaving: { readonly incarnation: string | undefined; hasEnded: boolean } | undefined;
+
   /**
    * Records the result of a call.
    * @param result - Result of the call.
@@ -48,6 +51,32 @@
     }
   }
 
+  /** Returns whether the backend server has announced in an answer that it is leaving. */
+  get isLeaving(): boolean {
+    return this.#leaving !== undefined;
+  }
+
+  /**
+   * Records that the backend server announced in an answer that it is leaving. Health reports that lag do not end this.
+   * @param incarnation - Start of the backend server in the list; undefined if the list has none.
+   */
+  recordLeaving(incarnation: string | undefined): void {
+    this.#leaving ??= { incarnation, hasEnded: false };
+  }
+
+  /**
+   * Records the start of the backend server in the list.
+   * @param incarnation - Undefined if the list has none.
+   * @returns True if another start than the leaving one is listed, which ends the leaving.
+   */
+  recordListed(incarnation: string | undefined): boolean {
+    const leaving = this.#leaving?.incarnation;
+    const isReplaced =
+      leaving !== undefined && incarnation !== undefined && leaving !== incarnation;
+    this.#leaving = isReplaced ? undefined : this.#leaving;
+    return isReplaced;
+  }
+
   /**
    * Decides the state of the backend server from a report.
    * @param report - State reported by the health endpoint; `unreachable` if it does not answer.
@@ -59,13 +88,28 @@
       return 'draining';
     }
     if (report === 'healthy') {
-      return 'up';
+      return this.#hasReturned() ? 'up' : 'draining';
     }
+    this.#recordEnd();
     const hasRecentFailure =
       this.#failedMs !== undefined && nowMs - this.#failedMs < FAILURE_WINDOW_MS;
     return hasRecentFailure ? 'down' : undefined;
   }
 
+  /** A leaving backend server that the list does not identify has returned if it was unreachable in between. */
+  #hasReturned(): boolean {
+    if (this.#leaving?.incarnation === undefined && this.#leaving?.hasEnded === true) {
+      this.#leaving = undefined;
+    }
+    return this.#leaving === undefined;
+  }
+
+  #recordEnd(): void {
+    if (this.#leaving !== undefined) {
+      this.#leaving.hasEnded = true;
+    }
+  }
+
   /**
    * Records a decided state.
    * @param state - The new state.
--- a/packages/core/src/process/node/DrainController.ts
+++ b/packages/core/src/process/node/DrainController.ts
@@ -141,7 +141,12 @@
 
   #send(peer: string, inbound: boolean, returned: boolean): void {
     const { name: vm, incarnation } = this.#self;
-    const value = create(LeavingSchema, { vm, incarnation, returned });
+    const value = create(LeavingSchema, {
+      vm,
+      incarnation,
+      returned,
+      backend: this.#isBackendDraining,
+    });
     if (inbound) {
       this.#outbox.sendReply(peer, { case: 'leaving', value });
       return;
--- a/packages/core/src/process/node/FrameDispatcher.ts
+++ b/packages/core/src/process/node/FrameDispatcher.ts
@@ -167,6 +167,9 @@
             return;
           }
           services.membership.markLeaving(peer, incarnation);
+          if (value.backend) {
+            services.membership.markBackendLeaving(peer);
+          }
         },
       },
     };
--- a/packages/core/src/process/node/NodeMessage.ts
+++ b/packages/core/src/process/node/NodeMessage.ts
@@ -36,6 +36,8 @@
   readonly rateLimit?: number;
   /** It names a rate limit that cannot be read, which has no effect. */
   readonly isRateLimitMalformed: boolean;
+  /** It is leaving: it finishes what it has and takes nothing new. */
+  readonly isLeaving: boolean;
 }
 
 /** Result of a call to the backend server. */
--- a/packages/core/src/process/node/NodeStateMachine.ts
+++ b/packages/core/src/process/node/NodeStateMachine.ts
@@ -285,11 +285,37 @@
   }
 
   #receiveNotice(result: BackendResult, nowMs: number): void {
-    if (result.kind === 'answered' && result.notice !== undefined) {
-      this.#inboundSide.runs.apply(this.#notices.receive(result.notice, nowMs), nowMs);
+    if (result.kind !== 'answered' || result.notice === undefined) {
+      return;
+    }
+    this.#inboundSide.runs.apply(this.#notices.receive(result.notice, nowMs), nowMs);
+    if (result.notice.isLeaving && !this.#health.isLeaving) {
+      this.#beginBackendLeaving(nowMs);
     }
   }
 
+  #beginBackendLeaving(nowMs: number): void {
+    const { membership: members, self, admission, outbox } = this.#services;
+    this.#health.recordLeaving(members.find(self.name)?.backendIncarnation);
+    members.markBackendLeaving(self.name);
+    this.#drain.recordBackendDrain(true);
+    outbox.add({
+      kind: 'log',
+      level: 'info',
+      part: 'backend',
+      text: 'backend server announced that it is leaving',
+      fields: {},
+    });
+    this.#inboundSide.runs.apply(admission.setBackendState('draining', nowMs), nowMs);
+  }
+
+  #endBackendLeaving(nowMs: number): void {
+    const { membership: members, self, admission } = this.#services;
+    members.clearLeaving(self.name);
+    this.#drain.recordBackendDrain(false);
+    this.#inboundSide.runs.apply(admission.setBackendState('up', nowMs), nowMs);
+  }
+
   #handleHealth(
     report: Extract<NodeMessage, { kind: 'backendHealth' }>['state'],
     nowMs: number,
@@ -302,7 +328,7 @@
     if (change !== undefined) {
       this.#services.outbox.add(createBackendLog(change));
     }
-    this.#drain.recordBackendDrain(state === 'draining');
+    this.#drain.recordBackendDrain(state === 'draining' || this.#health.isLeaving);
     if (state === 'down') {
       this.#inboundSide.runs.confirmCrash(nowMs);
     }
@@ -317,8 +343,12 @@
     members.replaceList(vms, isDerived === true ? undefined : nowMs);
     this.#services.rateLimiter.applyMembership(nowMs);
     this.#configureAdmission();
-    const state = this.#drain.recordListed(members.find(self.name)?.state ?? 'absent');
-    if (state !== undefined) {
+    const listed = members.find(self.name);
+    if (this.#health.recordListed(listed?.backendIncarnation)) {
+      this.#endBackendLeaving(nowMs);
+    }
+    const state = this.#drain.recordListed(listed?.state ?? 'absent');
+    if (state === 'draining' || (state === 'up' && !this.#health.isLeaving)) {
       // Otherwise, queued calls could still reach a leaving backend server when it has room, long after it left.
       this.#inboundSide.runs.apply(this.#services.admission.setBackendState(state, nowMs), nowMs);
     }
--- a/packages/node/src/ports/BackendAdapter.ts
+++ b/packages/node/src/ports/BackendAdapter.ts
@@ -12,6 +12,8 @@
   readonly notRun: boolean;
   /** Rate limit that the backend server names in the answer. */
   readonly rateLimit: NamedRateLimit;
+  /** The backend server announces that it is leaving. */
+  readonly isLeaving: boolean;
   /** Headers to forward to the caller. */
   readonly headers: readonly node.HeaderPair[];
 }
--- a/packages/node/src/ports/nativeBackendAdapter.ts
+++ b/packages/node/src/ports/nativeBackendAdapter.ts
@@ -8,8 +8,13 @@
 /** Header of an answer in which a backend server names the requests a second that it takes, as a decimal number. */
 const RATE_LIMIT_HEADER = 'tanagerpond-rate-limit';
 
+/** Header of an answer in which a backend server announces that it is leaving. */
+const LEAVING_HEADER = 'tanagerpond-leaving';
+
+const LEAVING = '1';
+
 /** Headers between a node and its backend server, which are not forwarded to callers. */
-const OWN_HEADERS: ReadonlySet<string> = new Set([SHED_HEADER, RATE_LIMIT_HEADER]);
+const OWN_HEADERS: ReadonlySet<string> = new Set([SHED_HEADER, RATE_LIMIT_HEADER, LEAVING_HEADER]);
 
 const SHED_NOT_RUN = 'not-run';
 
@@ -28,6 +33,7 @@
       status === SHED_STATUS &&
       headers.some(([name, value]) => name === SHED_HEADER && value === SHED_NOT_RUN),
     rateLimit: readRateLimit(headers, RATE_LIMIT_HEADER),
+    isLeaving: headers.some(([name, value]) => name === LEAVING_HEADER && value === LEAVING),
     headers: headers.filter(([name]) => !OWN_HEADERS.has(name)),
   }),
   readHealth: (status, body) => (status === 200 ? readState(body) : 'unreachable'),
--- a/packages/node/src/process/backend/BackendExchange.ts
+++ b/packages/node/src/process/backend/BackendExchange.ts
@@ -15,6 +15,7 @@
   mismatched: false,
   notRun: false,
   rateLimit: 'none',
+  isLeaving: false,
   headers: [],
 };
 
@@ -175,10 +176,14 @@
   }
 }
 
-function createNotice({ rateLimit }: InterpretedAnswer, headMs: number): node.BackendNotice {
+function createNotice(
+  { rateLimit, isLeaving }: InterpretedAnswer,
+  headMs: number,
+): node.BackendNotice {
   return {
     headMs,
     isRateLimitMalformed: rateLimit === 'malformed',
+    isLeaving,
     ...(typeof rateLimit === 'number' ? { rateLimit } : {}),
   };
 }
--- a/packages/node/test/process/backend/BackendPool.test.ts
+++ b/packages/node/test/process/backend/BackendPool.test.ts
@@ -118,7 +118,7 @@
       bodySize: 2,
       framing: 'length',
       shed: false,
-      notice: { headMs: HEAD_MS, isRateLimitMalformed: false },
+      notice: { headMs: HEAD_MS, isRateLimitMalformed: false, isLeaving: false },
     });
     expect(store.takeReference('c')?.bytes.toString()).to.equal('ok');
     expect(requests[0].toLowerCase()).to.match(/^post \/x http\/1.1\r\n/);
