Start queued runs when all sockets have been read, without a second read

A queued call was read in an earlier turn, so the end of its caller or its cancellation is the first unread input on its socket, and one pass over the sockets shows it. The second pass, which new requests need, only delayed the refill of a free slot. The test of a queued request whose caller left passes as before. The effect on served requests is not measured yet.

--- a/packages/node/src/process/work/CancellableStarts.ts
+++ b/packages/node/src/process/work/CancellableStarts.ts
@@ -7,7 +7,7 @@
 }
 
 /**
- * Starts attempts and runs through the work queue, so that a cancellation in the next read comes before them. A
+ * Starts attempts and runs through the work queue, so that cancellations that have not been read yet come before them. A
  * cancelled start has not happened.
  */
 export class CancellableStarts {
--- a/packages/node/src/process/work/WorkLane.ts
+++ b/packages/node/src/process/work/WorkLane.ts
@@ -7,7 +7,7 @@
   readonly addedMs: number;
 }
 
-/** Work of one kind in the order of arrival. Added work becomes ready after the next read of the sockets. */
+/** Work of one kind in the order of arrival. Added work is ready from the next call of `advance` on. */
 export class WorkLane {
   #added: WorkEntry[] = [];
 
--- a/packages/node/src/process/work/WorkQueue.ts
+++ b/packages/node/src/process/work/WorkQueue.ts
@@ -18,9 +18,9 @@
 }
 
 /**
- * Handles work after the sockets have been read completely and once more: first what continues accepted requests, then
- * new work, each in the order of arrival. A process that is late reads a request, the end of its connection and
- * cancellations in successive reads, so that by then it knows which work nobody waits for. A task decides itself whether
+ * Handles work when all sockets have been read: first what continues accepted requests, then new work, for which they
+ * have been read once more, each in the order of arrival. A process that is late reads a request and the end of its
+ * connection in successive reads, so that by then it knows which work nobody waits for. A task decides itself whether
  * its work is still wanted.
  */
 export class WorkQueue {
@@ -60,8 +60,8 @@
   }
 
   /**
-   * Runs a task that continues an accepted request: at once within a task, otherwise after the next read and before new
-   * work.
+   * Runs a task that continues an accepted request: at once within a task, otherwise when all sockets have been read,
+   * before new work.
    * @param task - Handles the work.
    */
   continue(task: WorkTask): void {
@@ -87,10 +87,11 @@
   #runTurn(): void {
     this.#isScheduled = false;
     this.#isHandling = true;
+    // The sockets have been read since a continuation was added, and the end of its caller comes first on its socket.
+    this.#continued.advance();
     this.#handleReady();
     this.#isHandling = false;
-    // What was read just now waits for the next read.
-    this.#continued.advance();
+    // New work waits for the next read, because the end of a connection is read after its last bytes.
     this.#new.advance();
     if (this.size > 0) {
       this.#schedule();
--- a/packages/node/test/process/work/CancellableStarts.test.ts
+++ b/packages/node/test/process/work/CancellableStarts.test.ts
@@ -17,7 +17,7 @@
     starts.start(callId, () => started.push(callId), peer);
   }
 
-  it('guards against an attempt or run that starts although its cancellation was in the next read', async () => {
+  it('guards against an attempt or run that starts although its cancellation was read after what began it', async () => {
     start('a');
     start('b');
     expect(starts.cancel('a')).to.equal(true);
@@ -42,7 +42,7 @@
     expect(started).to.deep.equal(['a']);
   });
 
-  it('guards against a start that waits for another read within a turn, or behind new work', async () => {
+  it('guards against a start within a turn that waits for another one, or a start behind new work', async () => {
     work.add(() => start('within'));
     work.add(() => started.push('new'));
     start('first');
