Refuse requests that are completed after a listener began to close

During the last second of a planned stop a connection whose request was not complete counts as busy and stays open. Its request was passed on when it was completed, and the listener closed the connection a moment later, without an answer. Found while reading the paths of requests that wait.

Such a request is now refused as leaving, not run, with a time to come back. The test failed before: the request was passed on.

--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -104,6 +104,8 @@
 
   #draining = false;
 
+  #isClosing = false;
+
   /** @param options - Limits, and the callback that receives the requests. */
   constructor(options: RequestListenerOptions) {
     this.#options = options;
@@ -205,6 +207,7 @@
   /** Stops listening and closes all connections; answers that are being written have 1 s to finish. */
   async [Symbol.asyncDispose](): Promise<void> {
     const startedMs = this.#options.now();
+    this.#isClosing = true;
     await this.#finishWriting();
     // On close, Node.js treats a connection whose answer is still being written as idle and closes it at once.
     this.#resetUnfinished();
@@ -260,9 +263,21 @@
       body.reservation.release();
       return;
     }
+    if (this.#isClosing) {
+      body.reservation.release();
+      this.#refuseAtClose(outgoing);
+      return;
+    }
     this.#announce(complete);
   }
 
+  /** Refuses a request that was completed after the listener began to close, since its answer would be cut off. */
+  #refuseAtClose(outgoing: ServerResponse): void {
+    this.#options.counters.count(`${this.#options.part}_refused_leaving`);
+    const refusal = request.createRefusal('leaving', { retryAfterMs: chooseRetryAfterMs() });
+    writeAnswer(outgoing, this.#options.adapter.buildRefusal(refusal, []), true);
+  }
+
   #announce({ incoming, outgoing, arrivedMs, body }: CompleteRequest): void {
     const { store, buildRequestId, publish, part } = this.#options;
     const requestId = buildRequestId();
@@ -376,7 +391,7 @@
   return socket.destroyed || socket.readableEnded;
 }
 
-/** Returns a jittered retry delay for a caller that is refused because the buffers are full, in milliseconds. */
+/** Returns a jittered retry delay for a caller that this listener itself refuses, in milliseconds. */
 function chooseRetryAfterMs(): number {
   return 500 + Math.random() * 1_000;
 }
--- a/packages/node/test/request/RequestListener.test.ts
+++ b/packages/node/test/request/RequestListener.test.ts
@@ -124,6 +124,22 @@
     expect(store.used).to.equal(0);
   });
 
+  it('guards against a request that is passed on and cut off because it was completed after the listener began to close', async () => {
+    const socket = connect(port, '127.0.0.1');
+    let answer = '';
+    socket.on('data', (bytes) => {
+      answer += bytes.toString();
+    });
+    socket.write('GET / HTTP/1.1\r\nhost: a\r\n');
+    await wait(SETTLE_MS);
+    const closed = listener[Symbol.asyncDispose]();
+    await wait(SETTLE_MS);
+    socket.write('\r\n');
+    await Promise.all([closed, once(socket, 'close')]);
+    expect(arrived).to.deep.equal([]);
+    expect(answer).to.match(/^HTTP\/1.1 503 .*not-run/s);
+  });
+
   it('guards against a request that is passed on although its client left before the process read it', async () => {
     const socket = connect(port, '127.0.0.1');
     await once(socket, 'connect');
