Estimate the calls of a route without the bias of its first runs

Cause: the calls in one run are smoothed over about 50 runs and start at 0, so after n runs the estimate is too low by 0.98^n. With 39 instances a node sees few runs of a route in the first second, and the error multiplies along the tree, so whole trees were admitted as if they were small.

Change: the estimate is divided by the weight of the runs seen so far. The division of calls among routes that run at once stays as it was; corrected there too, the calls of one route went to another (test).

Test failed before: 0.38 calls estimated of 4 after 5 runs.

--- a/packages/core/src/process/trees/CallRatios.ts
+++ b/packages/core/src/process/trees/CallRatios.ts
@@ -10,9 +10,11 @@
 interface RunningRoute {
   /** Requests that run now. */
   running: number;
+  /** Runs that have ended. */
+  ended: number;
   /** Smoothed run time, in milliseconds; starts at 100. */
   runMs: number;
-  /** Smoothed calls in one run, by called route. */
+  /** Smoothed calls in one run, by called route, too low by the weight of runs that have not happened yet. */
   readonly calls: Map<string, number>;
 }
 
@@ -47,6 +49,7 @@
       return;
     }
     known.running = Math.max(0, known.running - 1);
+    known.ended += 1;
     known.runMs += SAMPLE_WEIGHT * (runMs - known.runMs);
     known.calls.forEach((ratio, called) => known.calls.set(called, ratio * (1 - SAMPLE_WEIGHT)));
   }
@@ -72,7 +75,12 @@
    * @param route - Route of the run.
    */
   list(route: string): ReadonlyMap<string, number> {
-    return this.#routes.get(route)?.calls ?? new Map<string, number>();
+    const known = this.#routes.get(route);
+    if (known === undefined) {
+      return new Map();
+    }
+    const weight = computeSeenWeight(known);
+    return new Map([...known.calls].map(([called, ratio]) => [called, ratio / weight]));
   }
 
   #resolve(route: string): RunningRoute | undefined {
@@ -80,7 +88,7 @@
     if (known !== undefined || this.#routes.size >= MAX_ROUTES) {
       return known;
     }
-    const created: RunningRoute = { running: 0, runMs: 100, calls: new Map() };
+    const created: RunningRoute = { running: 0, ended: 0, runMs: 100, calls: new Map() };
     this.#routes.set(route, created);
     return created;
   }
@@ -90,3 +98,9 @@
   const rate = (calls.get(called) ?? 0) / Math.max(1, runMs);
   return running * Math.max(UNKNOWN_RATE, rate);
 }
+
+/** Computes the weight of the runs seen so far in the smoothed calls; a run that is under way counts half. */
+function computeSeenWeight({ ended, running }: RunningRoute): number {
+  const runs = Math.max(1, ended + running / 2);
+  return 1 - (1 - SAMPLE_WEIGHT) ** runs;
+}
--- a/packages/core/test/process/trees/CallRatios.test.ts
+++ b/packages/core/test/process/trees/CallRatios.test.ts
@@ -49,6 +49,16 @@
     expect(ratios.list('download').get('leaf') ?? 0).to.be.below(0.5);
   });
 
+  it('guards against a tree whose calls are underestimated while its route has run only a few times', () => {
+    const ratios = new CallRatios();
+    for (let run = 0; run < 5; run += 1) {
+      ratios.recordStart('catalog');
+      Array.from({ length: 4 }, () => ratios.recordCall('leaf'));
+      ratios.recordEnd('catalog', 140);
+    }
+    expect(ratios.list('catalog').get('leaf')).to.be.within(3.5, 4.5);
+  });
+
   it('guards against a ratio that stays when a route no longer makes calls', () => {
     const ratios = runRoutes([{ name: 'catalog', perSecond: 20, runMs: 50, calls: 2 }]);
     for (let run = 0; run < 300; run += 1) {
