Keep a leaving with the last listed start of a backend server, also when the list no longer names it

The entry of an instance may be gone when it says that it leaves. Its start was then unknown, and a later start at the same VM did not end the leaving. The start that was listed last now identifies it. Found by reading; unit tests.

--- a/packages/core/src/process/node/BackendHealth.ts
+++ b/packages/core/src/process/node/BackendHealth.ts
@@ -32,7 +32,10 @@
 
   #sinceMs = 0;
 
-  /** The start of the backend server that is leaving; `incarnation` is undefined if the list identifies none. */
+  /** Start of the backend server that the list named last; undefined if it has named none. */
+  #listed: string | undefined;
+
+  /** The start of the backend server that is leaving; `incarnation` is undefined if the list has named none. */
   #leaving: { readonly incarnation: string | undefined; hasEnded: boolean } | undefined;
 
   /**
@@ -57,11 +60,11 @@
   }
 
   /**
-   * Records that the backend server announced in an answer that it is leaving. Health reports that lag do not end this.
-   * @param incarnation - Start of the backend server in the list; undefined if the list has none.
+   * Records that the backend server announced in an answer that it is leaving. Health reports that lag do not end this,
+   * nor does a list that no longer names the VM.
    */
-  recordLeaving(incarnation: string | undefined): void {
-    this.#leaving ??= { incarnation, hasEnded: false };
+  recordLeaving(): void {
+    this.#leaving ??= { incarnation: this.#listed, hasEnded: false };
   }
 
   /**
@@ -70,9 +73,8 @@
    * @returns True if another start than the leaving one is listed, which ends the leaving.
    */
   recordListed(incarnation: string | undefined): boolean {
-    const leaving = this.#leaving?.incarnation;
-    const isReplaced =
-      leaving !== undefined && incarnation !== undefined && leaving !== incarnation;
+    this.#listed = incarnation ?? this.#listed;
+    const isReplaced = this.#leaving !== undefined && this.#leaving.incarnation !== this.#listed;
     this.#leaving = isReplaced ? undefined : this.#leaving;
     return isReplaced;
   }
--- a/packages/core/src/process/node/NodeStateMachine.ts
+++ b/packages/core/src/process/node/NodeStateMachine.ts
@@ -296,7 +296,7 @@
 
   #beginBackendLeaving(nowMs: number): void {
     const { membership: members, self, admission, outbox } = this.#services;
-    this.#health.recordLeaving(members.find(self.name)?.backendIncarnation);
+    this.#health.recordLeaving();
     members.markBackendLeaving(self.name);
     this.#drain.recordBackendDrain(true);
     outbox.add({
--- a/packages/core/test/process/node/BackendHealth.test.ts
+++ b/packages/core/test/process/node/BackendHealth.test.ts
@@ -4,6 +4,7 @@
   type NodeCommand,
   type NodeMessage,
 } from '../../../src/process/node/index.js';
+import { BackendHealth } from '../../../src/process/node/BackendHealth.js';
 import { SeededSource } from '../../support/SeededSource.js';
 
 const SELF = { name: 'deep-1', service: 'deep', failureDomain: 'east', incarnation: 'i1' };
@@ -63,4 +64,25 @@
       },
     ]);
   });
+
+  it('guards against a backend server that stays marked as leaving after another start of it was listed', () => {
+    const health = new BackendHealth();
+    health.recordListed('born-1');
+    health.recordListed(undefined);
+    health.recordLeaving();
+    expect(health.decide('healthy', 1_000)).to.equal('draining');
+    expect(health.recordListed('born-1')).to.equal(false);
+    expect(health.isLeaving).to.equal(true);
+    expect(health.recordListed('born-2')).to.equal(true);
+    expect(health.decide('healthy', 2_000)).to.equal('up');
+  });
+
+  it('guards against a leaving that health reports end, or never end where no list identifies the backend server', () => {
+    const health = new BackendHealth();
+    health.recordLeaving();
+    expect(health.decide('healthy', 1_000)).to.equal('draining');
+    health.decide('unreachable', 2_000);
+    expect(health.decide('healthy', 3_000)).to.equal('up');
+    expect(health.isLeaving).to.equal(false);
+  });
 });
