--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -122,9 +122,10 @@
       },
     );
     this.#server.maxConnections = options.limits.connections;
-    this.#server.on('connection', (socket) =>
-      socket.once('close', () => this.#closeQueued(socket)),
-    );
+    this.#server.on('connection', (socket) => {
+      socket.once('end', () => this.#endRequestsOf(socket));
+      socket.once('close', () => this.#closeQueued(socket));
+    });
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.#refuseMalformed(error, socket as Socket),
     );
@@ -312,6 +313,16 @@
     }
   }
 
+  /**
+   * Ends the pending requests of a client that has closed its side. Node.js then closes the connection, but the `close`
+   * event comes turns later, in which the requests could still be passed on.
+   */
+  #endRequestsOf(socket: Socket): void {
+    [...this.#pending]
+      .filter(([, { outgoing }]) => outgoing.req.socket === socket)
+      .forEach(([requestId]) => this.#endRequest(requestId));
+  }
+
   async #refuseUnread(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
--- a/packages/node/test/request/RequestListener.test.ts
+++ b/packages/node/test/request/RequestListener.test.ts
@@ -124,6 +124,29 @@
     expect(store.used).to.equal(0);
   });
 
+  it('guards against a client that is known to have left only when its connection is closed', async () => {
+    const large = { size: 0, release: () => undefined, tryGrow: () => true };
+    reply = ({ request: { requestId, target } }) => {
+      if (target === '/large') {
+        store.add('large', Buffer.alloc(ANSWER_BYTES), large);
+        const body = store.takeReference('large');
+        if (body !== undefined) {
+          listener.answer(requestId, { status: 200, headers: [], closeDelimited: false }, body);
+        }
+      }
+    };
+    const socket = connect(port, '127.0.0.1');
+    socket.pause();
+    ['/large', '/waits'].forEach((target) =>
+      socket.write(`GET ${target} HTTP/1.1\r\nhost: a\r\n\r\n`),
+    );
+    await waitFor('both requests', () => arrived.length === 2);
+    socket.end();
+    await waitFor('the end of the waiting request', () => gone.length === 1);
+    expect(gone).to.deep.equal(['r1']);
+    socket.destroy();
+  });
+
   it('guards against a request that is passed on and cut off because it was completed after the listener began to close', async () => {
     const socket = connect(port, '127.0.0.1');
     let answer = '';
