--- a/packages/node/src/connection/LinkCalls.ts
+++ b/packages/node/src/connection/LinkCalls.ts
@@ -3,7 +3,7 @@
 import type { request } from '@tanagerpond/core';
 import type { BodyStore, BodyReference } from '../process/bodies/index.js';
 import type { Counters } from '../process/metrics/index.js';
-import type { AddWork } from '../process/work/index.js';
+import type { AddWork } from '../process/scheduling/index.js';
 import { BodyReceiver, type BodyFault } from './BodyReceiver.js';
 import { BodySender, CHUNK_BYTES } from './BodySender.js';
 import { buildFrame } from './LinkStream.js';
--- a/packages/node/src/connection/PeerLink.ts
+++ b/packages/node/src/connection/PeerLink.ts
@@ -1,7 +1,7 @@
 import type { Frame, Hello } from '@tanagerpond/wire';
 import type { BodyStore, BodyReference } from '../process/bodies/index.js';
 import type { Counters } from '../process/metrics/index.js';
-import type { AddWork } from '../process/work/index.js';
+import type { AddWork } from '../process/scheduling/index.js';
 import { LinkCalls } from './LinkCalls.js';
 import { LinkStream } from './LinkStream.js';
 import type { FrameStream, LinkEndReason } from './LinkStream.js';
--- a/packages/node/src/connection/PeerLinks.ts
+++ b/packages/node/src/connection/PeerLinks.ts
@@ -4,7 +4,7 @@
 import type { BodyStore, BodyReference } from '../process/bodies/index.js';
 import type { Log, LogFields } from '../process/log/index.js';
 import type { Counters } from '../process/metrics/index.js';
-import type { AddWork } from '../process/work/index.js';
+import type { AddWork } from '../process/scheduling/index.js';
 import type { LinkEndReason } from './LinkStream.js';
 import { LostLinks } from './LostLinks.js';
 import { PeerLink } from './PeerLink.js';
--- a/packages/node/src/process/host/CommandDispatcher.ts
+++ b/packages/node/src/process/host/CommandDispatcher.ts
@@ -10,7 +10,7 @@
 import type { Log, LogFields } from '../log/index.js';
 import type { Counters } from '../metrics/index.js';
 import type { ConfigurationSource } from '../../ports/index.js';
-import type { CancellableStarts } from '../work/index.js';
+import type { CancellableStarts } from '../scheduling/index.js';
 
 /** Parts of the process that the dispatcher calls to execute commands. */
 export interface CommandTargets {
--- a/packages/node/src/process/host/NodeProcess.ts
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -16,7 +16,7 @@
 import { Counters, LatencyHistogram } from '../metrics/index.js';
 import { formatAddress } from '../settings/index.js';
 import type { ListenAddress, Settings } from '../settings/index.js';
-import { CancellableStarts, WorkQueue } from '../work/index.js';
+import { CancellableStarts, WorkQueue } from '../scheduling/index.js';
 import { CommandDispatcher } from './CommandDispatcher.js';
 
 /** Options of a node process. */
--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -8,7 +8,7 @@
 import type { EdgeAdapter } from '../ports/index.js';
 import type { BodyStore, BodyReference } from '../process/bodies/index.js';
 import type { Counters, LatencyHistogram } from '../process/metrics/index.js';
-import type { AddWork } from '../process/work/index.js';
+import type { AddWork } from '../process/scheduling/index.js';
 import { OUTCOME_HEADER } from './buildRefusalAnswer.js';
 import type { HttpAnswer } from './buildRefusalAnswer.js';
 import { discardBody } from './discardBody.js';
--- a/packages/node/test/connection/LinkCalls.test.ts
+++ b/packages/node/test/connection/LinkCalls.test.ts
@@ -7,7 +7,7 @@
 import { LinkCalls } from '../../src/connection/LinkCalls.js';
 import { BodyStore } from '../../src/process/bodies/index.js';
 import { Counters } from '../../src/process/metrics/index.js';
-import type { AddWork, WorkTask } from '../../src/process/work/index.js';
+import type { AddWork, WorkTask } from '../../src/process/scheduling/index.js';
 
 const BUDGET = 2 * 1024 * 1024;
 
--- a/packages/node/test/process/work/CancellableStarts.test.ts
+++ b/packages/node/test/process/scheduling/CancellableStarts.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { CancellableStarts, WorkQueue } from '../../../src/process/work/index.js';
+import { CancellableStarts, WorkQueue } from '../../../src/process/scheduling/index.js';
 import { waitFor } from '../../support/waitFor.js';
 
 describe('CancellableStarts', () => {
--- a/packages/node/test/process/work/WorkQueue.test.ts
+++ b/packages/node/test/process/scheduling/WorkQueue.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { WorkQueue } from '../../../src/process/work/index.js';
+import { WorkQueue } from '../../../src/process/scheduling/index.js';
 import { waitFor } from '../../support/waitFor.js';
 
 /** Time that each task takes, in milliseconds; a turn ends after three of them. */
--- a/packages/node/test/request/RequestListener.test.ts
+++ b/packages/node/test/request/RequestListener.test.ts
@@ -12,7 +12,7 @@
 import { Counters, LatencyHistogram } from '../../src/process/metrics/index.js';
 import { NATIVE_EDGE_ADAPTER } from '../../src/ports/index.js';
 import { RequestListener } from '../../src/request/index.js';
-import { WorkQueue } from '../../src/process/work/index.js';
+import { WorkQueue } from '../../src/process/scheduling/index.js';
 import { waitFor } from '../support/waitFor.js';
 
 const MAX_BODY = 64 * 1024;
--- a/packages/node/test/request/leftClients.test.ts
+++ b/packages/node/test/request/leftClients.test.ts
@@ -6,7 +6,7 @@
 import { NATIVE_EDGE_ADAPTER } from '../../src/ports/index.js';
 import { BodyStore } from '../../src/process/bodies/index.js';
 import { Counters, LatencyHistogram } from '../../src/process/metrics/index.js';
-import { WorkQueue } from '../../src/process/work/index.js';
+import { WorkQueue } from '../../src/process/scheduling/index.js';
 import { RequestListener } from '../../src/request/index.js';
 import { waitFor } from '../support/waitFor.js';
 
