--- a/review/lib/Node.mjs
+++ b/review/lib/Node.mjs
@@ -98,7 +98,7 @@
     opened.catch(() => undefined);
     await Promise.race([
       opened,
-      sleep(START_LIMIT_MS).then(() => {
+      sleep(START_LIMIT_MS, undefined, { ref: false }).then(() => {
         throw new Error(`node ${this.ip} did not start`);
       }),
     ]);
