Notice silent connections to the store before a change is late

Cause: a waiting call counted as a confirmation for its 20 s, also towards peers, so nodes that had heard nothing assured each other that nothing had changed; a silent call ended after 21 s. Ruled out: the comparison of peers (none had the change), the store (new connections answered at once).

Change: only an answer lowers the age of the documents. The calls of a node end together at random moments, 0.4 s apart in the fleet on average, so that ages stay low with few calls; a watching node that has heard of no answer for 4 s gives up its connections, and a call without an answer drops all of them.

--- a/packages/core/src/process/documents/DocumentRelay.ts
+++ b/packages/core/src/process/documents/DocumentRelay.ts
@@ -15,8 +15,8 @@
 const SILENT_SOURCE_INTERVAL_MS = 300;
 
 /**
- * Time between two requests to peers while the source answers. A stalled connection to the source is only detected
- * after the longest time that a request to the source may take, but a withdrawn key must be known earlier.
+ * Time between two requests to peers while the source answers. The own connections to the source may have gone silent
+ * without notice, and a withdrawn key must be known earlier.
  */
 const COMPARE_INTERVAL_MS = 500;
 
@@ -104,6 +104,14 @@
     }
   }
 
+  /**
+   * Records that the node's own source has told the state of all documents.
+   * @param asOfMs - Monotonic time from which that state is, in milliseconds.
+   */
+  recordConfirmed(asOfMs: number): void {
+    this.#options.scheduler.recordConfirmed(asOfMs);
+  }
+
   /**
    * Answers a peer with the changes that it lacks, and records which newer revisions it has.
    * @param peer - VM that sent the request.
@@ -147,7 +155,10 @@
   advance(nowMs: number): void {
     const decision = this.#options.scheduler.advance(nowMs);
     if (decision !== undefined) {
-      this.#options.outbox.add({ kind: 'watchService', enabled: decision });
+      this.#options.outbox.add({ kind: 'watchService', ...decision });
+    }
+    if (this.#options.scheduler.isOverdue(nowMs)) {
+      this.#options.outbox.add({ kind: 'renewWatch' });
     }
     this.#requestLaterPositions(nowMs);
     const isMissed = this.#options.scheduler.isWatching && !this.#isReachable;
--- a/packages/core/src/process/documents/SourceWatchScheduler.ts
+++ b/packages/core/src/process/documents/SourceWatchScheduler.ts
@@ -16,6 +16,25 @@
 /** Age of the documents after which a node watches the source itself, in milliseconds. */
 const MAX_AGE_MS = 8_000;
 
+/**
+ * Mean time between two calls of the fleet that the source ends without a change, in milliseconds. Each one proves its
+ * connection, or shows that it has gone silent. The nodes share these calls, so that their number does not grow with the
+ * fleet.
+ */
+const PROOF_GAP_MS = 400;
+
+/** Shortest mean waiting time of a call to the source, in milliseconds. */
+const MIN_MEAN_WAIT_MS = 1_500;
+
+/** Relative change of the mean waiting time from which on it is told to the source. */
+const WAIT_TOLERANCE = 0.2;
+
+/**
+ * Age of the documents after which a watching node no longer trusts its open connections, in milliseconds. Peers tell the
+ * ages of theirs, so no node of the fleet has heard from the source since.
+ */
+export const MAX_WATCHED_AGE_MS = 4_000;
+
 /**
  * Mean time between two nodes of the fleet that begin to try the source because they no longer hear from a watcher, in
  * milliseconds. Without it the whole fleet would call the source at once.
@@ -38,16 +57,30 @@
   readonly startedMs: number;
 }
 
+/** How a node watches the source from now on. */
+export interface WatchDecision {
+  readonly enabled: boolean;
+  /** Mean time for which the source may hold a call without changes, in milliseconds. */
+  readonly meanWaitMs: number;
+}
+
 /**
  * Decides whether this node watches the source of the documents. In a large fleet, a few nodes of each failure domain do,
  * chosen by rendezvous hashing. The others get the documents from peers, together with their age, and watch the source
- * themselves when the age shows that no watcher is heard from any more.
+ * themselves when the age shows that no watcher is heard from any more. A call that waits proves nothing, because its
+ * connection may have gone silent: only an answer lowers the age.
  */
 export class SourceWatchScheduler {
   readonly #options: SourceWatchSchedulerOptions;
 
   #isWatching: boolean | undefined;
 
+  /** Mean waiting time that was last told to the source, in milliseconds. */
+  #meanWaitMs = MIN_MEAN_WAIT_MS;
+
+  /** Time at which the connections to the source were last given up because the documents were old. */
+  #renewedMs = Number.NEGATIVE_INFINITY;
+
   #isReachable = true;
 
   /** Time at which the documents were last known to be current, by a peer or by the own source. */
@@ -84,6 +117,14 @@
     this.#isReachable = reachable;
   }
 
+  /**
+   * Records that the source has told this node the state of all documents.
+   * @param asOfMs - Monotonic time from which that state is, in milliseconds.
+   */
+  recordConfirmed(asOfMs: number): void {
+    this.#confirmedMs = Math.max(this.#confirmedMs, asOfMs);
+  }
+
   /**
    * Records the age of a peer's documents.
    * @param ageMs - Time since they were known to be current, in milliseconds.
@@ -91,7 +132,7 @@
    */
   recordPeerAge(ageMs: number, nowMs: number): void {
     if (ageMs >= 0) {
-      this.#confirmedMs = Math.max(this.#confirmedMs, nowMs - ageMs);
+      this.recordConfirmed(nowMs - ageMs);
     }
   }
 
@@ -106,24 +147,38 @@
   /**
    * Decides anew.
    * @param nowMs - Monotonic time, in milliseconds.
-   * @returns Whether to watch the source from now on; undefined when the decision is the same as before.
+   * @returns How to watch the source from now on; undefined when the decision is the same as before.
    */
-  advance(nowMs: number): boolean | undefined {
-    if (this.#isWatching === true && this.#isReachable) {
-      this.#confirmedMs = nowMs;
-    }
+  advance(nowMs: number): WatchDecision | undefined {
     if (this.#isWatching === undefined && !this.#isSettled(nowMs)) {
       return undefined;
     }
-    const isWatching = this.#isWatcher(nowMs) || this.#isFallback(nowMs);
-    if (isWatching === this.#isWatching) {
+    const enabled = this.#isWatcher(nowMs) || this.#isFallback(nowMs);
+    const meanWaitMs = this.#computeMeanWait();
+    const isSameWait = Math.abs(meanWaitMs - this.#meanWaitMs) <= WAIT_TOLERANCE * this.#meanWaitMs;
+    if (enabled === this.#isWatching && (isSameWait || !enabled)) {
       return undefined;
     }
-    if (isWatching && this.#isWatching === false) {
+    if (enabled && this.#isWatching === false) {
       this.#isReachable = false;
     }
-    this.#isWatching = isWatching;
-    return isWatching;
+    this.#isWatching = enabled;
+    this.#meanWaitMs = meanWaitMs;
+    return { enabled, meanWaitMs };
+  }
+
+  /**
+   * Returns whether this node must give up its connections to the source and read again, because no answer of it was
+   * heard of for too long; true once until the time has passed again. After a failed call the source is tried anyway.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  isOverdue(nowMs: number): boolean {
+    const sinceMs = Math.max(this.#confirmedMs, this.#renewedMs);
+    if (this.#isWatching !== true || !this.#isReachable || nowMs - sinceMs < MAX_WATCHED_AGE_MS) {
+      return false;
+    }
+    this.#renewedMs = nowMs;
+    return true;
   }
 
   #isSettled(nowMs: number): boolean {
@@ -143,6 +198,12 @@
     return this.#isRanked;
   }
 
+  #computeMeanWait(): number {
+    const { size } = this.#options.membership;
+    const watchers = size <= SMALL_FLEET ? size : MIN_WATCHERS;
+    return Math.max(MIN_MEAN_WAIT_MS, watchers * PROOF_GAP_MS);
+  }
+
   #computeRanked(): boolean {
     const { membership, self } = this.#options;
     if (membership.size <= SMALL_FLEET) {
--- a/packages/core/src/process/node/NodeCommand.ts
+++ b/packages/core/src/process/node/NodeCommand.ts
@@ -64,7 +64,14 @@
   /** Reads the configuration service once. */
   | { readonly kind: 'readService' }
   /** Starts or stops watching the configuration service, or the source of unsigned documents. */
-  | { readonly kind: 'watchService'; readonly enabled: boolean }
+  | {
+      readonly kind: 'watchService';
+      readonly enabled: boolean;
+      /** Mean time for which the source may hold a call without changes, in milliseconds; its own setting if absent. */
+      readonly meanWaitMs?: number;
+    }
+  /** Gives up the open connections to the source of unsigned documents, which may be silent, and calls it again. */
+  | { readonly kind: 'renewWatch' }
   /** Hands over changes from a peer that are newer than those from this node's own source. */
   | { readonly kind: 'documentReceived'; readonly update: DocumentUpdate }
   /** The drain has ended, because all calls are done or its time limit has passed; the process may exit. */
--- a/packages/core/src/process/node/NodeMessage.ts
+++ b/packages/core/src/process/node/NodeMessage.ts
@@ -118,6 +118,8 @@
   | { readonly kind: 'listConfirmed' }
   /** The node's own source published changes of a document, which peers may request. */
   | { readonly kind: 'documentRead'; readonly update: DocumentUpdate }
+  /** The node's own source has told the state of all documents as it was this long ago, in milliseconds. */
+  | { readonly kind: 'documentsConfirmed'; readonly ageMs: number }
   /** The source of published documents became reachable or unreachable. */
   | { readonly kind: 'sourceChanged'; readonly reachable: boolean }
   /** A planned stop of the process was requested. */
--- a/packages/core/src/process/node/NodeStateMachine.ts
+++ b/packages/core/src/process/node/NodeStateMachine.ts
@@ -197,6 +197,7 @@
       vmsListed: (message, nowMs) => this.#handleList(message, nowMs),
       listConfirmed: (_message, nowMs) => this.#services.membership.recordListConfirmed(nowMs),
       documentRead: ({ update }, nowMs) => this.#documents.recordRead(update, nowMs),
+      documentsConfirmed: ({ ageMs }, nowMs) => this.#documents.recordConfirmed(nowMs - ageMs),
       sourceChanged: ({ reachable }, nowMs) => this.#documents.recordSource(reachable, nowMs),
       drainRequested: (_message, nowMs) => this.#drain.startDrain(nowMs),
       tick: (_message, nowMs) => this.#advance(nowMs),
--- a/packages/node/src/ports/ConfigurationSource.ts
+++ b/packages/node/src/ports/ConfigurationSource.ts
@@ -24,8 +24,12 @@
   /**
    * Starts or stops watching what the decision engine may also get from peers, on its command.
    * @param enabled - Whether to watch.
+   * @param meanWaitMs - Mean time for which a call may wait for changes, in milliseconds; the setting if undefined.
    */
-  setWatch(enabled: boolean): void;
+  setWatch(enabled: boolean, meanWaitMs?: number): void;
+
+  /** Gives up the open connections of the watch, which may be silent, and calls the source again. */
+  renewWatch(): void;
 
   /**
    * Accepts changes of a document from a peer, which may be newer than what was read.
--- a/packages/node/src/process/platform/PlatformReader.ts
+++ b/packages/node/src/process/platform/PlatformReader.ts
@@ -138,6 +138,11 @@
     }
   }
 
+  /** Counts and ignores the command: a configuration that peers verify by its signature is compared with theirs. */
+  renewWatch(): void {
+    this.#options.counters.count('watch_renewals_ignored');
+  }
+
   /** Counts and ignores a document: nodes with this source exchange signed sections instead of documents. */
   acceptDocument(): void {
     this.#options.counters.count('documents_ignored');
