--- a/packages/bundle/src/request/HostRouteTable.ts
+++ b/packages/bundle/src/request/HostRouteTable.ts
@@ -27,6 +27,9 @@
   | { readonly kind: 'unsupported' }
   | { readonly kind: 'unknown' };
 
+/** Port of a `Host` header, which may be empty, and the dot of a fully qualified name before it. */
+const PORT_OR_ROOT_PATTERN = /\.?(?::\d*)?$/;
+
 /** Routing table by host name; the longest matching path prefix wins. */
 export class HostRouteTable {
   readonly #byHost = new Map<string, HostRoute[]>();
@@ -44,7 +47,7 @@
 
   /**
    * Finds the route of a request. When the route has several targets, picks one at random in proportion to the weights.
-   * @param host - `Host` header as received; case and port are ignored.
+   * @param host - `Host` header as received; case, port and a dot at the end of the name are ignored.
    * @param target - Path and query as received.
    * @param draw - Returns a random number in [0, 1).
    */
@@ -61,7 +64,7 @@
 }
 
 function toHostKey(host: string): string {
-  return host.toLowerCase().replace(/:\d+$/, '');
+  return host.toLowerCase().replace(PORT_OR_ROOT_PATTERN, '');
 }
 
 function pickTarget(targets: readonly RouteTarget[], draw: () => number): Route | undefined {
--- a/packages/core/src/request/identity/identifyWorkspace.ts
+++ b/packages/core/src/request/identity/identifyWorkspace.ts
@@ -14,8 +14,8 @@
 }
 
 /**
- * Finds the workspace of a request by the API key in its `authorization` header. A request without that header on an
- * open route belongs to the open workspace of the bundle.
+ * Finds the workspace of a request by the API key in its `authorization` header. A request on an open route needs no key:
+ * without one, or with one that no workspace has any more, it belongs to the open workspace of the bundle.
  * @param bundle - Active bundle.
  * @param headers - Headers with lower-case names.
  * @param route - Route of the request.
@@ -40,9 +40,10 @@
   }
   const keyDigest = digestKey(key);
   const workspace = bundle.workspaceByKeyDigest.get(keyDigest);
-  return workspace === undefined
-    ? Result.err(refuseKey(bundle, keyDigest))
-    : Result.ok({ workspace, keyDigest });
+  if (workspace !== undefined) {
+    return Result.ok({ workspace, keyDigest });
+  }
+  return identifyOpen(bundle, route).orElse(() => Result.err(refuseKey(bundle, keyDigest)));
 }
 
 function refuseKey({ unsupportedKeyDigests }: Bundle, keyDigest: string): Refusal {
--- a/packages/core/src/request/identity/readDeadline.ts
+++ b/packages/core/src/request/identity/readDeadline.ts
@@ -7,6 +7,9 @@
 /** Header with the time for which a caller waits, in milliseconds. */
 const DEADLINE_HEADER = 'tanagerpond-deadline-ms';
 
+/** Decimal number; callers may send fractions of a millisecond, or a very long time. */
+const NUMBER_PATTERN = /^-?\d{1,30}(?:\.\d{1,30})?$/;
+
 /**
  * Reads how long a caller waits for its answer, with the default and the maximum of the fleet.
  * @param fleet - Default and maximum, from the active bundle.
@@ -21,10 +24,10 @@
   if (header.kind === 'absent') {
     return Result.ok(fleet.defaultDeadlineMs);
   }
-  if (header.kind === 'repeated' || !/^-?\d{1,9}$/.test(header.value)) {
+  if (header.kind === 'repeated' || !NUMBER_PATTERN.test(header.value)) {
     return Result.err(createRefusal('headerMalformed', { detail: DEADLINE_HEADER }));
   }
-  const remainingMs = Number(header.value);
+  const remainingMs = Math.floor(Number(header.value));
   if (remainingMs <= 0) {
     return Result.err(createRefusal('deadlineExpired', { detail: DEADLINE_HEADER }));
   }
--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -16,6 +16,7 @@
 import { parseRawHeaders } from './parseRawHeaders.js';
 import { readBody } from './readBody.js';
 import type { ReadBodyResult } from './readBody.js';
+import { readTarget } from './readTarget.js';
 import { renderAnswer, writeAnswer } from './writeAnswer.js';
 
 /** Limits of a listener; times in milliseconds, sizes in bytes. */
@@ -239,7 +240,7 @@
   async #handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     this.#unsentAnswers.add(outgoing);
     outgoing.once('close', () => this.#unsentAnswers.delete(outgoing));
-    if (!HOST_PATTERN.test(incoming.headers.host ?? '')) {
+    if (!HOST_PATTERN.test(readTarget(incoming).host)) {
       this.#refuseHost(outgoing);
       return;
     }
@@ -282,11 +283,15 @@
   #announce({ incoming, outgoing, arrivedMs, body }: CompleteRequest): void {
     const { store, buildRequestId, publish, part } = this.#options;
     const requestId = buildRequestId();
-    const all = this.#options.adapter.readRequest(parseRawHeaders(incoming.rawHeaders));
+    const { host, target } = readTarget(incoming);
+    const sent = parseRawHeaders(incoming.rawHeaders);
+    const all = this.#options.adapter.readRequest(
+      sent.map((header) => (header[0] === 'host' ? ['host', host] : header)),
+    );
     const arrived = {
       requestId,
       method: incoming.method ?? '',
-      target: incoming.url ?? '',
+      target,
       headers: all,
       bodySize: body.bytes.length,
       bodyDigest: body.digest,
