Divide rates among all VMs that may still use a share

Cause: each node believed its list of VMs at once. Ruled out: retries and lent tokens, whose bound holds for a fixed number of VMs.

--- a/packages/core/src/process/shares/OwnShare.ts
+++ b/packages/core/src/process/shares/OwnShare.ts
@@ -42,12 +42,20 @@
    * @param leaseMs - Lease time, in milliseconds.
    * @param startedMs - Time at which the node started or was reset.
    * @param nowMs - Monotonic time, in milliseconds.
+   * @param notBeforeMs - Earliest end of the startup wait, in milliseconds.
    */
-  configure(fraction: number, leaseMs: number, startedMs: number, nowMs: number): void {
+  configure(
+    fraction: number,
+    leaseMs: number,
+    startedMs: number,
+    nowMs: number,
+    notBeforeMs = Number.NEGATIVE_INFINITY,
+  ): void {
     this.#fraction = fraction;
     this.#leaseMs = leaseMs;
     if (!this.isReady(nowMs)) {
       this.reset(startedMs);
+      this.#readyMs = Math.max(this.#readyMs, notBeforeMs);
     } else if (this.#pool.has(this.#self)) {
       this.#pool.add(this.#self, { fraction, expiresMs: Number.POSITIVE_INFINITY }, nowMs);
     }
--- a/packages/core/src/process/shares/RateLimiter.ts
+++ b/packages/core/src/process/shares/RateLimiter.ts
@@ -3,6 +3,7 @@
 import type * as membership from '../membership/index.js';
 import type * as time from '../time/index.js';
 import { BorrowedShares } from './BorrowedShares.js';
+import { FleetSize } from './FleetSize.js';
 import { HolderRanking } from './HolderRanking.js';
 import { isFiniteFrame } from './isFiniteFrame.js';
 import { LeaseIds } from './LeaseIds.js';
@@ -42,6 +43,9 @@
 
   readonly #subleases = new SubleaseTable(this.#pool);
 
+  /** Name of the VM that this node runs on. */
+  readonly #name: string;
+
   readonly #membership: membership.Membership;
 
   readonly #rates: WorkspaceRates;
@@ -52,6 +56,9 @@
 
   readonly #ranking: HolderRanking;
 
+  /** Number of VMs that may use a share, if the bundle declares no maximum number of VMs. */
+  readonly #fleetSize = new FleetSize();
+
   readonly #borrower: TokenBorrower;
 
   readonly #queue: RequestQueue;
@@ -66,11 +73,15 @@
 
   #isReleased = false;
 
+  /** Part of the rates that the own share has, if the bundle declares no maximum number of VMs. */
+  #fraction = 0;
+
   /** @param options - Identity, list of VMs, random source, start time and rate options. */
   constructor(options: RateLimiterOptions) {
     const { self, membership: view, random, startedMs } = options;
     this.#rates = new WorkspaceRates(options);
     const ids = new LeaseIds(self.incarnation);
+    this.#name = self.name;
     this.#membership = view;
     this.#ownShare = new OwnShare(self.name, this.#pool);
     this.#borrowedShares = new BorrowedShares(this.#pool, ids);
@@ -107,9 +118,9 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   applyMembership(nowMs: number): void {
-    if (this.#bundle !== undefined && this.#bundle.fleet.maxVms === undefined) {
-      this.#configureOwnShare(this.#bundle, this.#advanceClock(nowMs));
-    }
+    const clockMs = this.#advanceClock(nowMs);
+    this.#fleetSize.record(this.#membership.size, clockMs);
+    this.#resizeOwnShare(clockMs);
   }
 
   /**
@@ -167,6 +178,7 @@
     if (changed !== undefined) {
       this.#configureRates(changed, clockMs);
     }
+    this.#resizeOwnShare(clockMs);
     this.#borrower.advance(clockMs);
     return [
       ...this.#queue.advance(clockMs),
@@ -229,10 +241,32 @@
     this.#queue.configure(workspaces);
   }
 
-  /** If the bundle declares no maximum number of VMs, the rates are divided by the number of listed VMs. */
   #configureOwnShare({ fleet }: Bundle, nowMs: number): void {
-    const shares = fleet.maxVms ?? Math.max(1, this.#membership.size);
-    this.#ownShare.configure(1 / shares, fleet.shareLeaseMs, this.#startedMs, nowMs);
+    const { maxVms, shareLeaseMs } = fleet;
+    if (maxVms !== undefined) {
+      this.#ownShare.configure(1 / maxVms, shareLeaseMs, this.#startedMs, nowMs);
+      return;
+    }
+    const settledMs = this.#fleetSize.computeSettledMs();
+    this.#fraction = this.#computeFraction(nowMs);
+    this.#ownShare.configure(this.#fraction, shareLeaseMs, this.#startedMs, nowMs, settledMs);
+  }
+
+  /** Adapts the own share to the number of VMs, if the bundle declares no maximum for it. */
+  #resizeOwnShare(nowMs: number): void {
+    const bundle = this.#bundle;
+    if (bundle === undefined || bundle.fleet.maxVms !== undefined) {
+      return;
+    }
+    if (!this.#ownShare.isReady(nowMs) || this.#computeFraction(nowMs) !== this.#fraction) {
+      this.#configureOwnShare(bundle, nowMs);
+    }
+  }
+
+  /** Computes the part of the rates that this node owns; none while it is not listed, since the others own all of them. */
+  #computeFraction(nowMs: number): number {
+    const isListed = this.#membership.find(this.#name) !== undefined;
+    return isListed ? 1 / this.#fleetSize.compute(nowMs) : 0;
   }
 
   /**
--- a/packages/core/test/process/shares/createBundle.ts
+++ b/packages/core/test/process/shares/createBundle.ts
@@ -9,7 +9,7 @@
 /** Creates a bundle with only the parts that the rate limiter reads. */
 export function createBundle(
   rates: readonly TestRate[],
-  fleet: { maxVms: number; shareLeaseMs: number; version?: number },
+  fleet: { maxVms?: number; shareLeaseMs: number; version?: number },
 ): Bundle {
   const workspaces = new Map<string, Workspace>(
     rates.map((rate) => [rate.name, { ...rate, weight: 1, keyDigests: [], open: false }]),
@@ -18,7 +18,7 @@
     version: fleet.version ?? 1,
     digest: '0'.repeat(64),
     fleet: {
-      maxVms: fleet.maxVms,
+      ...(fleet.maxVms === undefined ? {} : { maxVms: fleet.maxVms }),
       shareLeaseMs: fleet.shareLeaseMs,
       extraAttempts: 3,
       maxDepth: 16,
