Accept in a planned stop only what can end before it, and wait for readers

Causes: requests were accepted for a fixed part of a stop of a fixed length, and an answer handed to the socket did not count as in flight. Ruled out: calls between nodes, which are counted.

--- a/packages/core/src/process/node/DrainController.ts
+++ b/packages/core/src/process/node/DrainController.ts
@@ -11,10 +11,10 @@
 const MIN_ANNOUNCEMENT_MS = 2_000;
 
 /**
- * Part of the longest duration of a planned stop in which new requests of callers are accepted; in the rest, those that
- * were accepted end. Without it a busy node would cut off what it accepted last.
+ * Part of the longest duration of a planned stop for which a repeatable request must fit into what is left. Its caller may
+ * send it again, so it is accepted although it may last longer, and then answered at the end of the stop.
  */
-const ACCEPTING_PART = 0.6;
+const REPEATABLE_PART = 0.5;
 
 /** State of a VM in the platform's list. */
 export type ListedState = 'live' | 'leaving' | 'absent';
@@ -68,12 +68,26 @@
   }
 
   /**
-   * Returns whether a planned stop has come so far that new requests of callers are refused.
+   * Measures the time until a planned stop cuts off the requests that are not done, in milliseconds; infinite if none has
+   * started.
    * @param nowMs - Monotonic time, in milliseconds.
    */
-  isRefusingCallers(nowMs: number): boolean {
+  measureRemainingMs(nowMs: number): number {
     const sinceMs = this.#drainSinceMs;
-    return sinceMs !== undefined && nowMs - sinceMs >= ACCEPTING_PART * this.#drainLimitMs;
+    return sinceMs === undefined ? Number.POSITIVE_INFINITY : sinceMs + this.#drainLimitMs - nowMs;
+  }
+
+  /**
+   * Returns whether a request that arrives now will be answered before a planned stop ends; true if none has started.
+   * @param longestMs - Time within which the request is answered, in milliseconds.
+   * @param repeatable - Whether the request may run more than once.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  canFinish(longestMs: number, repeatable: boolean, nowMs: number): boolean {
+    const neededMs = repeatable
+      ? Math.min(longestMs, REPEATABLE_PART * this.#drainLimitMs)
+      : longestMs;
+    return neededMs <= this.measureRemainingMs(nowMs);
   }
 
   /**
--- a/packages/core/src/process/node/NodeServices.ts
+++ b/packages/core/src/process/node/NodeServices.ts
@@ -37,8 +37,16 @@
   /** Returns whether the node has stopped accepting calls for its backend server. */
   isLeaving(): boolean;
   /**
-   * Returns whether a planned stop has come so far that new requests of callers are refused.
+   * Measures the time until a planned stop cuts off the requests that are not done, in milliseconds; infinite if none has
+   * started.
    * @param nowMs - Monotonic time, in milliseconds.
    */
-  isRefusingCallers(nowMs: number): boolean;
+  measureStopRemainingMs(nowMs: number): number;
+  /**
+   * Returns whether a request that arrives now will be answered before a planned stop ends; true if none has started.
+   * @param longestMs - Time within which the request is answered, in milliseconds.
+   * @param repeatable - Whether the request may run more than once.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  canFinish(longestMs: number, repeatable: boolean, nowMs: number): boolean;
 }
--- a/packages/core/src/process/node/NodeStateMachine.ts
+++ b/packages/core/src/process/node/NodeStateMachine.ts
@@ -67,7 +67,9 @@
       findIncarnation: (peer) => this.#links.findIncarnation(peer),
       findBundle: () => (this.#isReady() ? this.#bundle : undefined),
       isLeaving: () => this.#drain.isLeaving(),
-      isRefusingCallers: (nowMs) => this.#drain.isRefusingCallers(nowMs),
+      measureStopRemainingMs: (nowMs) => this.#drain.measureRemainingMs(nowMs),
+      canFinish: (longestMs, repeatable, nowMs) =>
+        this.#drain.canFinish(longestMs, repeatable, nowMs),
     });
     this.#isSigned = options.unsignedBundles !== true;
     const { outbox } = this.#services;
--- a/packages/core/src/process/node/createNodeServices.ts
+++ b/packages/core/src/process/node/createNodeServices.ts
@@ -55,7 +55,7 @@
 /** Access to the state of the state machine that decision modules need. */
 type StateMachineAccess = Pick<
   NodeServices,
-  'findIncarnation' | 'findBundle' | 'isLeaving' | 'isRefusingCallers'
+  'findIncarnation' | 'findBundle' | 'isLeaving' | 'measureStopRemainingMs' | 'canFinish'
 >;
 
 /**
--- a/packages/core/src/request/calls/OutboundCallHandler.ts
+++ b/packages/core/src/request/calls/OutboundCallHandler.ts
@@ -1,6 +1,6 @@
 import type { Bundle } from '@tanagerpond/bundle';
 import type { Refused } from '@tanagerpond/wire';
-import type { Result } from 'true-myth';
+import { Result } from 'true-myth';
 import type { ReceivedRequest } from '../../process/node/NodeMessage.js';
 import type * as backpressure from '../../process/backpressure/index.js';
 import type { NodeServices } from '../../process/node/NodeServices.js';
@@ -66,14 +66,12 @@
       this.#refuseRequest(request, this.#addRetryAfter(createRefusal('starting')));
       return;
     }
-    if (this.#services.isRefusingCallers(nowMs)) {
-      this.#refuseRequest(request, this.#addRetryAfter(createRefusal('leaving')));
-      return;
-    }
-    admitCaller(bundle, request, () => this.#services.random.next(), nowMs).match({
-      Ok: (admitted) => this.#startCallerCall(bundle, request, admitted, nowMs),
-      Err: (refusal) => this.#refuseRequest(request, this.#addRetryAfter(refusal)),
-    });
+    admitCaller(bundle, request, () => this.#services.random.next(), nowMs)
+      .andThen((admitted) => this.#limitToStop(admitted, nowMs))
+      .match({
+        Ok: (admitted) => this.#startCallerCall(bundle, request, admitted, nowMs),
+        Err: (refusal) => this.#refuseRequest(request, this.#addRetryAfter(refusal)),
+      });
   }
 
   /**
@@ -182,6 +180,16 @@
       .forEach((call) => this.#expire(call, nowMs));
   }
 
+  /** Refuses a request that a planned stop would cut off, and ends the others before that. */
+  #limitToStop(admitted: AdmittedRequest, nowMs: number): Result<AdmittedRequest, Refusal> {
+    const { remainingMs, route } = admitted;
+    if (!this.#services.canFinish(remainingMs, route.repeatable, nowMs)) {
+      return Result.err(createRefusal('leaving'));
+    }
+    const stopMs = this.#services.measureStopRemainingMs(nowMs);
+    return Result.ok({ ...admitted, remainingMs: Math.min(remainingMs, stopMs) });
+  }
+
   #advanceTrees(nowMs: number): void {
     const { callTrees, outbox } = this.#services;
     callTrees?.admission.advance(nowMs);
--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -1,10 +1,11 @@
 import { performance } from 'node:perf_hooks';
 import { cac } from 'cac';
+import { Result } from 'true-myth';
 import type { NodePorts } from '../ports/index.js';
 import { NodeProcess } from '../process/host/index.js';
 import { BoundedLineStream, createLogger } from '../process/log/index.js';
 import { loadSettings, SettingsReloader } from '../process/settings/index.js';
-import type { Settings } from '../process/settings/index.js';
+import type { Settings, SettingsError } from '../process/settings/index.js';
 import { createDecisionEngine } from './createDecisionEngine.js';
 
 /** Maximum bytes of log lines that wait for a slow reader; a few seconds of lines at the default rate. */
@@ -36,7 +37,8 @@
     process.stderr.write('settings: expected --settings FILE\n');
     return EXIT_USAGE;
   }
-  const loaded = await loadSettings(options.settings);
+  const adapt = ports?.adaptSettings ?? Result.ok<Settings, SettingsError>;
+  const loaded = (await loadSettings(options.settings)).andThen(adapt);
   if (loaded.isErr) {
     process.stderr.write(`${loaded.error.message.replace(/^/gm, 'settings: ')}\n`);
     return EXIT_USAGE;
@@ -64,7 +66,7 @@
     ...(ports === undefined ? {} : { ports }),
     createDecisions: (start) => createDecisionEngine(settings, start),
   });
-  const reload = new SettingsReloader(file, settings, log);
+  const reload = new SettingsReloader(file, settings, log, ports?.adaptSettings);
   process.on('SIGHUP', () => {
     void reload.run();
   });
--- a/packages/node/src/connection/PeerLinks.ts
+++ b/packages/node/src/connection/PeerLinks.ts
@@ -171,6 +171,11 @@
     return lastFrameMs === undefined ? undefined : this.#options.now() - lastFrameMs;
   }
 
+  /** Number of answers whose bodies are being sent to peers. */
+  get unsentBodies(): number {
+    return [...this.#inbound.values()].reduce((sum, { link }) => sum + link.unsentBodies, 0);
+  }
+
   /** Returns the links for the state dump, at most 64 in each direction. */
   snapshot(): object {
     const outbound = [...this.#outbound].map(([peer, link]) => describeLink(peer, link));
@@ -195,9 +200,7 @@
 
   async #finishAnswers(): Promise<void> {
     const untilMs = this.#options.now() + CLOSE_LIMIT_MS;
-    const isSending = (): boolean =>
-      [...this.#inbound.values()].some(({ link }) => link.unsentBodies > 0);
-    while (isSending() && this.#options.now() < untilMs) {
+    while (this.unsentBodies > 0 && this.#options.now() < untilMs) {
       await wait(CLOSE_CHECK_MS);
     }
   }
--- a/packages/node/src/process/host/NodeProcess.ts
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -52,7 +52,10 @@
 /** Characters of the incarnation that prefix each request id, so that the ids of different processes differ. */
 const ID_PREFIX_LENGTH = 12;
 
-/** Time after the drain limit in which the decision engine must report the end of the drain, in milliseconds. */
+/**
+ * Time after the drain limit in which the decision engine must report the end of the drain, and in which answers may still
+ * be written, in milliseconds.
+ */
 const DRAIN_MARGIN_MS = 500;
 
 /** Interval of the checks whether requests still wait at the end of a drain, in milliseconds. */
@@ -227,10 +230,14 @@
     await this.#readiness[Symbol.asyncDispose]();
   }
 
-  /** Ends a drain once no request waits: the decision engine does not know those that have just been accepted. */
+  /**
+   * Ends a drain once no request waits and no answer is being written: the decision engine knows neither those that have
+   * just been accepted nor those that it has answered.
+   */
   #finishDrain(): void {
-    const { caller, egress } = this.#listeners;
-    if (caller.pending + egress.pending + this.#work.size === 0) {
+    const listeners = Object.values(this.#listeners);
+    const open = listeners.reduce((sum, { pending, writing }) => sum + pending + writing, 0);
+    if (open + this.#work.size + this.#links.unsentBodies === 0) {
       this.#drain.settle();
       return;
     }
--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -72,8 +72,11 @@
 /** Interval of the checks of the header and request time limits, in milliseconds. */
 const CHECK_MS = 1_000;
 
-/** Time that open connections have to finish when the listener closes, in milliseconds. */
-const CLOSE_LIMIT_MS = 1_000;
+/**
+ * Time that open connections have to finish when the listener closes, in milliseconds. A planned stop has waited for the
+ * answers before.
+ */
+const CLOSE_LIMIT_MS = 300;
 
 /**
  * Time that a client has to read the answer to a malformed request before its connection is closed, in milliseconds.
@@ -148,6 +151,11 @@
     return this.#pending.size + this.#waiting;
   }
 
+  /** Number of answers that are being written, which their clients may read slowly. */
+  get writing(): number {
+    return this.#writing.size;
+  }
+
   /** Makes every answer from now on close its connection. */
   drain(): void {
     this.#draining = true;
@@ -206,7 +214,7 @@
     return true;
   }
 
-  /** Stops listening and closes all connections; answers that are being written have 1 s to finish. */
+  /** Stops listening and closes all connections; answers that are being written have 0.3 s to finish. */
   async [Symbol.asyncDispose](): Promise<void> {
     const startedMs = this.#options.now();
     this.#isClosing = true;
