--- a/packages/node/src/process/backend/BackendExchange.ts
+++ b/packages/node/src/process/backend/BackendExchange.ts
@@ -137,7 +137,7 @@
       return;
     }
     this.#reservation = undefined;
-    store.add(callId, this.#body.toBuffer(), reservation);
+    store.add(callId, this.#body.takeBuffer(), reservation);
     const { headers, notRun } = this.#interpreted;
     const status = this.#status;
     const bodySize = this.#body.size;
@@ -172,6 +172,7 @@
     clearTimeout(this.#timer);
     this.#reservation?.release();
     this.#reservation = undefined;
+    this.#body.discard();
     this.#options.onResult(result);
   }
 }
--- a/packages/node/src/process/bodies/BodyBuffer.ts
+++ b/packages/node/src/process/bodies/BodyBuffer.ts
@@ -1,15 +1,14 @@
-/**
- * Minimum and maximum size of a block, in bytes. Between them, a new block is as large as all earlier ones together.
- */
+import { BLOCK_BYTES, BLOCK_POOL } from './BlockPool.js';
+
+/** Minimum size of a block, in bytes. Up to the size of the pool's blocks, a new block is as large as all earlier ones. */
 const SMALLEST_BLOCK_BYTES = 1024;
-const LARGEST_BLOCK_BYTES = 1024 * 1024;
 
 /**
  * Collects the bytes of a body in blocks of its own. A list of the received chunks would take 100 bytes and more for a
  * chunk of one byte, and would keep the whole buffer that the chunk was read into.
  */
 export class BodyBuffer {
-  readonly #blocks: Buffer[] = [];
+  #blocks: Buffer[] = [];
 
   /** Number of bytes used in the last block. */
   #used = 0;
@@ -35,22 +34,41 @@
     }
   }
 
-  /** Returns all bytes in one buffer; bytes of a single block are not copied. */
-  toBuffer(): Buffer {
+  /**
+   * Ends the collection, and returns all bytes in one buffer; bytes of a single block are not copied. No further bytes may
+   * be appended.
+   */
+  takeBuffer(): Buffer {
     const [first, ...others] = this.#blocks;
     if (first === undefined) {
       return Buffer.alloc(0);
     }
-    return others.length === 0
-      ? first.subarray(0, this.#size)
-      : Buffer.concat(this.#blocks, this.#size);
+    if (others.length === 0) {
+      this.#blocks = [];
+      return first.subarray(0, this.#size);
+    }
+    const all = Buffer.concat(this.#blocks, this.#size);
+    this.discard();
+    return all;
+  }
+
+  /** Drops the collected bytes, whose memory is used again. */
+  discard(): void {
+    BLOCK_POOL.release(this.#blocks);
+    this.#blocks = [];
   }
 
   #addBlock(rest: Buffer): void {
-    const wanted = Math.min(LARGEST_BLOCK_BYTES, Math.max(SMALLEST_BLOCK_BYTES, this.#size));
-    const block = Buffer.allocUnsafe(Math.max(rest.length, wanted));
+    const block = this.#size >= BLOCK_BYTES ? BLOCK_POOL.take() : this.#createBlock(rest.length);
     this.#blocks.push(block);
     this.#used = rest.copy(block);
-    this.#size += rest.length;
+    this.#size += this.#used;
+    if (this.#used < rest.length) {
+      this.#addBlock(rest.subarray(this.#used));
+    }
+  }
+
+  #createBlock(length: number): Buffer {
+    return Buffer.allocUnsafe(Math.max(length, SMALLEST_BLOCK_BYTES, this.#size));
   }
 }
--- a/packages/node/src/request/readBody.ts
+++ b/packages/node/src/request/readBody.ts
@@ -75,12 +75,13 @@
 
     function finish(result: ReadBodyResult): void {
       incoming.off('data', take);
+      body.discard();
       resolve(result);
     }
   });
 
   function join(): ReadBodyResult {
     const digest = hash?.digest('hex') ?? '';
-    return { kind: 'complete', bytes: body.toBuffer(), digest, reservation };
+    return { kind: 'complete', bytes: body.takeBuffer(), digest, reservation };
   }
 }
--- a/packages/node/test/process/bodies/BodyBuffer.test.ts
+++ b/packages/node/test/process/bodies/BodyBuffer.test.ts
@@ -6,6 +6,10 @@
 const PIECES = 500_000;
 const HEAP_BYTES = 8_000_000;
 
+/** Size of a large body, in bytes, and number of such bodies that are dropped one after the other. */
+const LARGE_BYTES = 16 * 1024 * 1024;
+const DROPPED = 12;
+
 describe('BodyBuffer', () => {
   it('guards against lost, duplicated or reordered bytes', () => {
     fc.assert(
@@ -14,7 +18,7 @@
         pieces.forEach((piece) => body.append(Buffer.from(piece)));
         const whole = Buffer.concat(pieces);
         expect(body.size).to.equal(whole.length);
-        expect(body.toBuffer().equals(whole)).to.equal(true);
+        expect(body.takeBuffer().equals(whole)).to.equal(true);
       }),
     );
   });
@@ -24,7 +28,7 @@
     const piece = Buffer.from('one');
     body.append(piece);
     piece.fill('x');
-    expect(body.toBuffer().toString()).to.equal('one');
+    expect(body.takeBuffer().toString()).to.equal('one');
   });
 
   it('guards against small chunks that take many times their size in memory', () => {
@@ -39,4 +43,36 @@
     expect(grown).to.be.below(PIECES * 16 + HEAP_BYTES);
     expect(body.size).to.equal(PIECES);
   });
+
+  it('guards against dropped bodies whose memory stays occupied until a garbage collection', () => {
+    const piece = Buffer.alloc(64 * 1024, 'x');
+    collect(piece).discard();
+    const before = process.memoryUsage().arrayBuffers;
+    for (let count = 0; count < DROPPED; count++) {
+      collect(piece).discard();
+    }
+    const grown = process.memoryUsage().arrayBuffers - before;
+    expect(grown).to.be.below(DROPPED * 2 * 1024 * 1024);
+  });
+
+  it('guards against a taken body that shares memory with a later one', () => {
+    const taken = collect(Buffer.alloc(64 * 1024, 'a')).takeBuffer();
+    collect(Buffer.alloc(64 * 1024, 'b')).discard();
+    const small = new BodyBuffer();
+    small.append(Buffer.from('first'));
+    const single = small.takeBuffer();
+    small.discard();
+    collect(Buffer.alloc(64 * 1024, 'c'));
+    expect(taken.every((byte) => byte === 'a'.charCodeAt(0))).to.equal(true);
+    expect(single.toString()).to.equal('first');
+  });
 });
+
+/** Collects 16 MiB in equal pieces. */
+function collect(piece: Buffer): BodyBuffer {
+  const body = new BodyBuffer();
+  for (let size = 0; size < LARGE_BYTES; size += piece.length) {
+    body.append(piece);
+  }
+  return body;
+}
