Close a silent link after 1.5 s while calls wait on it

Cause: a link was pinged after 1 s and given up after 3 s without a frame, whether or not calls waited on it. Ruled out: the return of the links (served again 2 s after the end of the silence).

Change: the side that opened the link pings after 0.4 s without a frame while calls wait, and gives it up after 1.5 s. Idle links keep 1 s and 3 s.

--- a/packages/node/src/connection/LinkStream.ts
+++ b/packages/node/src/connection/LinkStream.ts
@@ -27,6 +27,8 @@
   /** Whether this process opened the stream; only the opener sends pings. */
   readonly opener: boolean;
   readonly now: () => number;
+  /** Returns whether calls wait for an answer of the peer. */
+  readonly isAwaited: () => boolean;
   readonly counters: Counters;
   readonly onFrame: (frame: Frame) => void;
   readonly onClose: (end: LinkEndReason) => void;
@@ -38,6 +40,13 @@
 /** Time without a frame of the peer after which a stream is closed as silent, in milliseconds. */
 export const SILENCE_TIMEOUT_MS = 3_000;
 
+/**
+ * Time without a frame of the peer after which the opener sends a ping, and after which it closes the stream as silent, while
+ * calls wait for its answer, in milliseconds. A peer that is only busy answers a ping in this time.
+ */
+const AWAITED_PING_MS = 400;
+const AWAITED_SILENCE_MS = 1_500;
+
 /**
  * Gap between two checks, in milliseconds, above which this process counts as paused: the peer may have sent frames
  * meanwhile, so its silence is not judged.
@@ -130,12 +139,15 @@
       this.#lastFrameMs = nowMs;
     }
     this.#lastCheckMs = nowMs;
-    if (nowMs - this.#lastFrameMs >= SILENCE_TIMEOUT_MS) {
+    const isAwaited = this.#options.opener && this.#options.isAwaited();
+    const silentMs = nowMs - this.#lastFrameMs;
+    if (silentMs >= (isAwaited ? AWAITED_SILENCE_MS : SILENCE_TIMEOUT_MS)) {
       this.close('silent');
       return;
     }
     const quietMs = nowMs - Math.min(this.#lastFrameMs, this.#lastWriteMs);
-    if (this.#options.opener && quietMs >= PING_MS) {
+    const isPingDue = quietMs >= PING_MS || (isAwaited && silentMs >= AWAITED_PING_MS);
+    if (this.#options.opener && isPingDue) {
       this.#sequence += 1;
       this.write(buildFrame({ case: 'ping', value: { sequence: this.#sequence } }));
     }
--- a/packages/node/src/connection/PeerLink.ts
+++ b/packages/node/src/connection/PeerLink.ts
@@ -82,6 +82,7 @@
       abort: () => options.transport.abort(),
       opener: options.opener,
       now: options.now,
+      isAwaited: () => (this.#calls?.count ?? 0) > 0,
       counters: options.counters,
       onFrame: (frame) => this.#receive(frame),
       onClose: (end) => this.#end(end),
--- a/packages/node/test/connection/PeerLink.test.ts
+++ b/packages/node/test/connection/PeerLink.test.ts
@@ -73,6 +73,8 @@
     a.link.send(buildFrame({ case: 'openCall', value: { callId: 'c' } }));
     await advance([a, b], 10_000);
     expect([a.ends, b.ends, b.frames.length]).to.deep.equal([[], [], 1]);
+    b.link.send(buildFrame({ case: 'answer', value: { callId: 'c' } }));
+    await settle();
     left.silent = true;
     right.silent = true;
     await advance([a, b], 3_500);
@@ -80,6 +82,19 @@
     expect(b.ends).to.deep.equal([['silent', true]]);
   });
 
+  it('guards against a call that waits 3 s on a connection whose peer has become silent', async () => {
+    const [left, right] = MemoryStream.createPair();
+    const a = createSide(left, true);
+    const b = createSide(right, false);
+    await settle();
+    a.link.send(buildFrame({ case: 'openCall', value: { callId: 'c' } }));
+    await advance([a, b], 10_000);
+    left.silent = true;
+    right.silent = true;
+    await advance([a, b], 2_000);
+    expect(a.ends).to.deep.equal([['silent', true]]);
+  });
+
   it('guards against a process that mistakes its own pause for silence of its peers', async () => {
     const [left, right] = MemoryStream.createPair();
     const a = createSide(left, true);
