Give up only the calls that were dropped with a link

Cause: linkFailed named the VM alone, a turn late. An attempt of the same turn that waited for a new link was given up as not run, and the link sent it later. Ruled out: deduplication (the copies run at two VMs), links that were up.

Change: linkFailed names the dropped calls; starts that still wait are not cancelled by it.

--- a/packages/core/src/process/node/NodeMessage.ts
+++ b/packages/core/src/process/node/NodeMessage.ts
@@ -94,7 +94,15 @@
       readonly inbound: boolean;
     }
   /** A stream to a peer could not be opened, so none of the frames queued for it were sent. */
-  | { readonly kind: 'linkFailed'; readonly peer: string }
+  | {
+      readonly kind: 'linkFailed';
+      readonly peer: string;
+      /**
+       * Calls that were dropped with the link. Later ones may already wait for a new link, which can still send them. All
+       * calls to the peer if absent.
+       */
+      readonly callIds?: readonly string[];
+    }
   | { readonly kind: 'backendResult'; readonly callId: string; readonly result: BackendResult }
   /** State reported by the health endpoint of the backend server; it lags and may be wrong. */
   | { readonly kind: 'backendHealth'; readonly state: 'healthy' | 'draining' | 'unreachable' }
--- a/packages/core/src/process/node/NodeStateMachine.ts
+++ b/packages/core/src/process/node/NodeStateMachine.ts
@@ -180,7 +180,7 @@
       peerFrame: (message, nowMs) => this.#frames.dispatch(message, nowMs),
       linkUp: (message, nowMs) => this.#handleLinkUp(message, nowMs),
       linkDown: (message, nowMs) => this.#handleLinkDown(message, nowMs),
-      linkFailed: ({ peer }, nowMs) => this.#handleLinkFailed(peer, nowMs),
+      linkFailed: (message, nowMs) => this.#handleLinkFailed(message, nowMs),
       backendResult: ({ callId, result }, nowMs) => {
         this.#health.recordResult(result, nowMs);
         this.#receiveNotice(result, nowMs);
@@ -281,11 +281,14 @@
     this.#outboundSide.attempts.recordLinkDown(peer, incarnation, nowMs);
   }
 
-  #handleLinkFailed(peer: string, nowMs: number): void {
+  #handleLinkFailed(
+    { peer, callIds }: Extract<NodeMessage, { kind: 'linkFailed' }>,
+    nowMs: number,
+  ): void {
     this.#services.router.recordLink(peer, false, nowMs);
     this.#applyConfiguration(this.#configuration.recordLink(peer, false, nowMs), nowMs);
     this.#outboundSide.ticketRequests.recordLinkLost(peer, nowMs);
-    this.#outboundSide.attempts.recordLinkFailed(peer, nowMs);
+    this.#outboundSide.attempts.recordLinkFailed(peer, nowMs, callIds);
   }
 
   #receiveNotice(result: BackendResult, nowMs: number): void {
--- a/packages/core/src/request/calls/OutboundAttempts.ts
+++ b/packages/core/src/request/calls/OutboundAttempts.ts
@@ -164,12 +164,17 @@
   }
 
   /**
-   * Handles a link that could not be opened, so that no attempt queued for it was sent.
+   * Handles a link that could not be opened, so that the attempts queued for it were not sent.
    * @param peer - VM that could not be reached.
    * @param nowMs - Monotonic time, in milliseconds.
+   * @param callIds - Attempts that were queued for it; all attempts at the VM if absent.
    */
-  recordLinkFailed(peer: string, nowMs: number): void {
-    this.#listAttemptsAt(peer).forEach((call) => {
+  recordLinkFailed(peer: string, nowMs: number, callIds?: readonly string[]): void {
+    const dropped = callIds === undefined ? undefined : new Set(callIds);
+    const failed = this.#listAttemptsAt(peer).filter(
+      ({ attempt }) => dropped?.has(attempt?.callId ?? '') ?? true,
+    );
+    failed.forEach((call) => {
       this.#dropAttempt(call, nowMs);
       const retryAfterMs = computeRetryAfter(UNREACHABLE_RETRY_MS, this.#services.random);
       const notRun = createRefusal('vmUnreachable', { retryAfterMs });
--- a/packages/node/src/connection/PeerLink.ts
+++ b/packages/node/src/connection/PeerLink.ts
@@ -43,7 +43,13 @@
    * Called once at the end. `hello` is undefined when the link never came up; no queued frame was sent then.
    * `unfinished` is the value of `PeerLink.calls` at the end.
    */
-  readonly onEnd: (end: LinkEndReason, hello: Hello | undefined, unfinished: number) => void;
+  /** Also gets the number of unfinished calls, and the frames that were dropped because the link never came up. */
+  readonly onEnd: (
+    end: LinkEndReason,
+    hello: Hello | undefined,
+    unfinished: number,
+    dropped: readonly Frame[],
+  ) => void;
 }
 
 interface QueuedFrame {
@@ -215,8 +221,9 @@
   #end(end: LinkEndReason): void {
     const unfinished = this.calls;
     this.#calls?.close();
+    const dropped = this.#queue.map(({ frame }) => frame);
     this.#queue.forEach(({ body }) => body?.release());
     this.#queue = [];
-    this.#options.onEnd(end, this.#hello, unfinished);
+    this.#options.onEnd(end, this.#hello, unfinished, dropped);
   }
 }
--- a/packages/node/src/connection/PeerLinks.ts
+++ b/packages/node/src/connection/PeerLinks.ts
@@ -28,6 +28,14 @@
   readonly idleMs?: number;
 }
 
+/** How an outbound link ended. */
+interface OutboundEnd {
+  readonly end: LinkEndReason;
+  readonly hello: Hello | undefined;
+  /** Frames that were never sent, because the link did not come up. */
+  readonly dropped: readonly Frame[];
+}
+
 interface InboundEntry {
   readonly link: PeerLink;
   readonly hello: Hello;
@@ -120,8 +128,7 @@
     const link = this.#outbound.get(peer) ?? this.#open(peer);
     if (link === undefined) {
       body?.release();
-      // Published in a later turn: a decision engine that retries at once would otherwise loop forever.
-      setImmediate(() => this.#options.publish({ kind: 'linkFailed', peer }));
+      this.#reportFailed(peer, [frame]);
       return;
     }
     link.send(frame, body);
@@ -215,7 +222,8 @@
       ...this.#buildLinkOptions(this.#options.connect(peer, address), true),
       checkHello: (hello) => isValidHello(hello) && hello.vm === peer,
       onUp: (hello) => this.#addOutbound(peer, hello),
-      onEnd: (end, hello) => this.#endOutbound(peer, link, hello, end),
+      onEnd: (end, hello, _unfinished, dropped) =>
+        this.#endOutbound(peer, link, { end, hello, dropped }),
     });
     this.#outbound.set(peer, link);
     return link;
@@ -257,7 +265,7 @@
     this.#options.publish({ kind: 'linkUp', peer, incarnation, inbound: true });
   }
 
-  #endOutbound(peer: string, link: PeerLink, hello: Hello | undefined, end: LinkEndReason): void {
+  #endOutbound(peer: string, link: PeerLink, { end, hello, dropped }: OutboundEnd): void {
     if (this.#outbound.get(peer) === link) {
       this.#outbound.delete(peer);
     }
@@ -268,12 +276,23 @@
         end,
         ...this.#describeLoss(peer, false),
       });
-      setImmediate(() => this.#options.publish({ kind: 'linkFailed', peer }));
+      this.#reportFailed(peer, dropped);
       return;
     }
     this.#reportDown(hello, false, end, link.lastFrameMs);
   }
 
+  /**
+   * Reports frames that were not sent, in a later turn: a decision engine that retries at once would otherwise loop forever.
+   * A new link may be open by then, so the calls are named.
+   */
+  #reportFailed(peer: string, dropped: readonly Frame[]): void {
+    const callIds = dropped.flatMap(({ body }) =>
+      body.case === 'openCall' ? [body.value.callId] : [],
+    );
+    setImmediate(() => this.#options.publish({ kind: 'linkFailed', peer, callIds }));
+  }
+
   #endInbound(
     link: PeerLink,
     hello: Hello | undefined,
--- a/packages/node/src/process/host/NodeProcess.ts
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -248,7 +248,7 @@
     if (message.kind === 'vmsListed') {
       this.#links.replaceAddresses(message.vms);
     }
-    if (message.kind === 'linkFailed' || (message.kind === 'linkDown' && !message.inbound)) {
+    if (message.kind === 'linkDown' && !message.inbound) {
       this.#starts.cancelPeer(message.peer);
     }
     if (message.kind === 'backendResult' && FAILED_EXCHANGES.has(message.result.kind)) {
--- a/packages/node/test/connection/PeerLinks.test.ts
+++ b/packages/node/test/connection/PeerLinks.test.ts
@@ -12,6 +12,9 @@
 /** Size of an answer that exceeds the flow-control window of a body, in bytes. */
 const ANSWER_BYTES = 1024 * 1024;
 
+/** Time after which a link that could not be opened is opened again, in milliseconds, with a margin. */
+const RETRY_PAUSE_MS = 250;
+
 const SECOND = '2'.repeat(32);
 
 describe('PeerLinks', () => {
@@ -181,7 +184,35 @@
     links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
     sendHello(opened[0][1], FIRST, 'other');
     await settle();
-    expect(messages).to.deep.equal([{ kind: 'linkFailed', peer: 'peer' }]);
+    expect(messages).to.deep.equal([{ kind: 'linkFailed', peer: 'peer', callIds: [] }]);
+  });
+
+  it('guards against a call that is reported as not sent while it waits for a new link, which then sends it', async () => {
+    const open = (callId: string): Frame => buildFrame({ case: 'openCall', value: { callId } });
+    listAddress('10.0.0.1:1');
+    links.sendRequest('peer', open('dropped'));
+    opened[0][1].abort();
+    await settle();
+    links.sendRequest('peer', open('refused'));
+    skipMs += RETRY_PAUSE_MS;
+    links.sendRequest('peer', open('waiting'));
+    const sent: string[] = [];
+    opened[1][1].on('data', (bytes: Buffer) =>
+      decodeBatch(bytes)
+        .unwrapOr([])
+        .forEach(({ body }) => {
+          if (body.case === 'openCall') {
+            sent.push(body.value.callId);
+          }
+        }),
+    );
+    await settle();
+    sendHello(opened[1][1], SECOND);
+    await settle();
+    const failed = messages.flatMap((one) =>
+      one.kind === 'linkFailed' ? (one.callIds ?? []) : [],
+    );
+    expect([failed, sent]).to.deep.equal([['dropped', 'refused'], ['waiting']]);
   });
 
   it('guards against connecting again and again to a peer that does not answer', async () => {
