Pass large answers without a length on in chunks, so that a cut shows

Cause: an answer without a length was passed on without one, and the kernel of a killed process closes its connections in order. Ruled out: a reset by the process, as no code runs on a kill.

Change: above 64 KiB such an answer is written in chunks; smaller ones are taken over by the kernel at once and stay as they are.

--- a/packages/node/src/request/writeAnswer.ts
+++ b/packages/node/src/request/writeAnswer.ts
@@ -4,6 +4,12 @@
 import { buildRefusalAnswer } from './buildRefusalAnswer.js';
 import type { HttpAnswer } from './buildRefusalAnswer.js';
 
+/**
+ * Size of an answer that the kernel takes over at once, in bytes, so that the client gets all of it whatever happens to the
+ * process.
+ */
+const TAKEN_AT_ONCE_BYTES = 64 * 1024;
+
 /**
  * Writes an answer and ends the response. If a header is invalid, a refusal is written instead.
  * @param outgoing - Response to write to.
@@ -18,7 +24,7 @@
   }
   // An answer to HEAD would need the length of the answer to GET, which is not known here.
   if (closeDelimited) {
-    Object.assign(outgoing, { useChunkedEncodingByDefault: false });
+    Object.assign(outgoing, { useChunkedEncodingByDefault: needsChunks(outgoing, answer) });
   } else if (answer.status !== 204 && answer.status !== 304 && outgoing.req.method !== 'HEAD') {
     headers.push('content-length', String(answer.body.length));
   }
@@ -45,6 +51,14 @@
   return `${lines.join('\r\n')}\r\n\r\n${body.toString()}`;
 }
 
+/**
+ * Returns whether an answer whose end only a close marks needs chunks. Without them, a large one that is cut off when this
+ * process is killed would look complete, because the kernel closes its connection in order.
+ */
+function needsChunks({ req }: ServerResponse, { body }: HttpAnswer): boolean {
+  return req.httpVersion !== '1.0' && body.length > TAKEN_AT_ONCE_BYTES;
+}
+
 function writeBadHeader(outgoing: ServerResponse): void {
   const refusal = request.createRefusal('backendFailed', { detail: 'header of the answer' });
   const { status, headers, body } = buildRefusalAnswer(refusal);
--- a/packages/node/test/request/RequestListener.test.ts
+++ b/packages/node/test/request/RequestListener.test.ts
@@ -343,7 +343,7 @@
     let ended: boolean;
     let closed: Promise<unknown>;
 
-    async function startAnswer(closeDelimited: boolean): Promise<void> {
+    async function startAnswer(closeDelimited: boolean, version = '1.1'): Promise<void> {
       const budget = new BodyStore(ANSWER_BYTES);
       const reservation = budget.tryReserve(ANSWER_BYTES) ?? expect.fail();
       budget.add('large', Buffer.alloc(ANSWER_BYTES, 'x'), reservation);
@@ -365,10 +365,35 @@
       closed = new Promise((resolve) => {
         socket.once('close', resolve);
       });
-      socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+      socket.write(`GET / HTTP/${version}\r\nhost: a\r\n\r\n`);
       await waitFor('the request', () => arrived.length === 1);
     }
 
+    it('guards against a large answer without a length that looks complete when a kill cuts it off', async () => {
+      let head = '';
+      await startAnswer(true);
+      socket.once('data', (bytes: Buffer) => {
+        head = bytes.toString('latin1', 0, 512);
+      });
+      socket.resume();
+      await closed;
+      expect(head).to.match(/^HTTP\/1.1 200 .*\r\ntransfer-encoding: chunked\r\n/is);
+      expect(head).to.not.match(/content-length/i);
+      expect(ended).to.equal(true);
+    });
+
+    it('guards against chunks that a client of HTTP/1.0 cannot read', async () => {
+      let head = '';
+      await startAnswer(true, '1.0');
+      socket.once('data', (bytes: Buffer) => {
+        head = bytes.toString('latin1', 0, 512);
+      });
+      socket.resume();
+      await closed;
+      expect(head).to.not.match(/transfer-encoding|content-length/i);
+      expect(received).to.be.above(ANSWER_BYTES);
+    });
+
     it('guards against a truncated close-delimited answer that looks complete', async () => {
       await startAnswer(true);
       await listener[Symbol.asyncDispose]();
