--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -48,6 +48,8 @@
 
 async function runProcess(file: string, settings: Settings, ports?: NodePorts): Promise<number> {
   const now = (): number => performance.now();
+  // The reader of the log may end before this process, which must go on serving.
+  [process.stdout, process.stderr].forEach((stream) => stream.on('error', () => undefined));
   const lines = new BoundedLineStream({
     target: process.stdout,
     now,
--- a/packages/node/test/bin/tanagerpondNode.test.ts
+++ b/packages/node/test/bin/tanagerpondNode.test.ts
@@ -3,6 +3,7 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
+import { setTimeout as wait } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { expect } from 'chai';
 import { request } from 'undici';
@@ -75,6 +76,22 @@
     ).to.have.length(3);
   });
 
+  it('guards against a process that ends because the reader of its log has gone away', async () => {
+    await run(renderSettings('a', OUTSIDE));
+    const { admin } = await waitReady();
+    child?.stdout?.destroy();
+    child?.stderr?.destroy();
+    for (let count = 0; count < 5; count += 1) {
+      child?.kill('SIGHUP');
+      await wait(100);
+    }
+    const { statusCode, body } = await request(`http://${admin}/health`);
+    await body.dump();
+    expect([statusCode, exitCode]).to.deep.equal([200, undefined]);
+    child?.kill('SIGKILL');
+    await waitFor('the end', () => exitCode !== undefined);
+  });
+
   it('guards against SIGTERM ending with an error, and against an admin listener without health, metrics or state', async () => {
     await run(renderSettings('a', OUTSIDE));
     const { admin, caller } = await waitReady();
