Ask for the health of an instance at the path of the configuration

Cause: the platform's adapter had the path as a constant, so the answer was 404 for ever. Ruled out: the list, which shows the instance as ready all the while.

--- a/packages/bundle/src/version/serviceSchema.ts
+++ b/packages/bundle/src/version/serviceSchema.ts
@@ -9,6 +9,8 @@
   connections: z.int().min(1),
   /** Maximum number of calls that wait in the admission queue of one VM. */
   queue: z.int().min(1),
+  /** Path of the health endpoint of the backend servers, if the platform chooses it. */
+  healthPath: z.string().optional(),
 });
 
 export type Service = Readonly<z.infer<typeof serviceSchema>>;
--- a/packages/node/src/ports/BackendAdapter.ts
+++ b/packages/node/src/ports/BackendAdapter.ts
@@ -20,7 +20,7 @@
 
 /** Translates between the node and the HTTP interface of its backend server. An adapter makes no decisions. */
 export interface BackendAdapter {
-  /** Path of the health endpoint. */
+  /** Path of the health endpoint, unless the configuration of the service has another one. */
   readonly healthPath: string;
 
   /**
--- a/packages/node/src/process/backend/HealthPoller.ts
+++ b/packages/node/src/process/backend/HealthPoller.ts
@@ -36,9 +36,12 @@
 
   #stopped = false;
 
+  #path: string;
+
   /** @param options - Address of the backend server, and the callback that receives its health. */
   constructor(options: HealthPollerOptions) {
     this.#options = options;
+    this.#path = options.adapter.healthPath;
     this.#client = new Client(`http://${options.address}`, {
       connect: createBackendConnector(ANSWER_LIMIT_MS),
       maxHeaderSize: MAX_ANSWER_HEAD_BYTES,
@@ -61,6 +64,14 @@
     }
   }
 
+  /**
+   * Changes the path of the health endpoint from the next poll on.
+   * @param path - Path; that of the adapter if undefined.
+   */
+  setPath(path: string | undefined): void {
+    this.#path = path ?? this.#options.adapter.healthPath;
+  }
+
   /** Stops polling. */
   async [Symbol.asyncDispose](): Promise<void> {
     this.#stopped = true;
@@ -87,7 +98,7 @@
     const { adapter } = this.#options;
     try {
       const answer = await this.#client.request({
-        path: adapter.healthPath,
+        path: this.#path,
         method: 'GET',
         signal: AbortSignal.timeout(ANSWER_LIMIT_MS),
       });
--- a/packages/node/src/process/host/NodeProcess.ts
+++ b/packages/node/src/process/host/NodeProcess.ts
@@ -248,6 +248,10 @@
     if (message.kind === 'vmsListed') {
       this.#links.replaceAddresses(message.vms);
     }
+    if (message.kind === 'bundleAdopted') {
+      const { service } = this.#options.settings.vm;
+      this.#health.setPath(message.bundle.services.get(service)?.healthPath);
+    }
     if (message.kind === 'linkDown' && !message.inbound) {
       this.#starts.cancelPeer(message.peer);
     }
