Report the call that overflows the queue of a link as not sent

A call that found the queue of a link full was dropped without a report since linkFailed names its calls, and would have waited until its deadline.

Cause: the link was closed before the frame was queued, so it was not among the dropped ones.

--- a/packages/node/src/connection/PeerLink.ts
+++ b/packages/node/src/connection/PeerLink.ts
@@ -135,11 +135,11 @@
       body?.release();
     } else if (this.#calls !== undefined) {
       this.#calls.send(frame, body);
-    } else if (this.#queue.length < MAX_QUEUED_FRAMES) {
-      this.#queue.push({ frame, body });
     } else {
-      body?.release();
-      this.close('helloTimeout');
+      this.#queue.push({ frame, body });
+      if (this.#queue.length > MAX_QUEUED_FRAMES) {
+        this.close('helloTimeout');
+      }
     }
   }
 
--- a/packages/node/test/connection/PeerLinks.test.ts
+++ b/packages/node/test/connection/PeerLinks.test.ts
@@ -15,6 +15,9 @@
 /** Time after which a link that could not be opened is opened again, in milliseconds, with a margin. */
 const RETRY_PAUSE_MS = 250;
 
+/** Frames that wait for a link to come up before it is given up. */
+const MAX_QUEUED = 4096;
+
 const SECOND = '2'.repeat(32);
 
 describe('PeerLinks', () => {
@@ -215,6 +218,16 @@
     expect([failed, sent]).to.deep.equal([['dropped', 'refused'], ['waiting']]);
   });
 
+  it('guards against a call that is never reported because the queue of its link is full', async () => {
+    listAddress('10.0.0.1:1');
+    const callIds = Array.from({ length: MAX_QUEUED + 1 }, (_none, at) => `call-${at}`);
+    callIds.forEach((callId) =>
+      links.sendRequest('peer', buildFrame({ case: 'openCall', value: { callId } })),
+    );
+    await settle();
+    expect(messages).to.deep.equal([{ kind: 'linkFailed', peer: 'peer', callIds }]);
+  });
+
   it('guards against connecting again and again to a peer that does not answer', async () => {
     listAddress('10.0.0.1:1');
     links.sendRequest('peer', buildFrame({ case: 'crashReport', value: {} }));
