--- a/packages/core/src/process/shares/FleetSize.ts
+++ b/packages/core/src/process/shares/FleetSize.ts
@@ -8,7 +8,7 @@
  * Time without a new VM in the list after which it counts as complete, in milliseconds. After an outage of their source,
  * living VMs are listed again one by one, each within its interval of registration.
  */
-export const LIST_SETTLE_MS = 1_600;
+const LIST_SETTLE_MS = 1_600;
 
 /** A size of the list, and the time of the last list of that size or a larger one. */
 interface ListedSize {
