Read the target of a request once, and keep one type for adapted settings

The target was parsed twice a request and every header list was copied for the rare absolute form; now it is parsed once, and only that form copies. The type of the settings' adaptation stood twice, with two defaults.

--- a/packages/node/src/bin/runNode.ts
+++ b/packages/node/src/bin/runNode.ts
@@ -5,7 +5,7 @@
 import { NodeProcess } from '../process/host/index.js';
 import { BoundedLineStream, createLogger } from '../process/log/index.js';
 import { loadSettings, SettingsReloader } from '../process/settings/index.js';
-import type { Settings, SettingsError } from '../process/settings/index.js';
+import type { AdaptSettings, Settings } from '../process/settings/index.js';
 import { createDecisionEngine } from './createDecisionEngine.js';
 
 /** Maximum bytes of log lines that wait for a slow reader; a few seconds of lines at the default rate. */
@@ -37,7 +37,7 @@
     process.stderr.write('settings: expected --settings FILE\n');
     return EXIT_USAGE;
   }
-  const adapt = ports?.adaptSettings ?? Result.ok<Settings, SettingsError>;
+  const adapt = selectAdapt(ports);
   const loaded = (await loadSettings(options.settings)).andThen(adapt);
   if (loaded.isErr) {
     process.stderr.write(`${loaded.error.message.replace(/^/gm, 'settings: ')}\n`);
@@ -68,7 +68,7 @@
     ...(ports === undefined ? {} : { ports }),
     createDecisions: (start) => createDecisionEngine(settings, start),
   });
-  const reload = new SettingsReloader(file, settings, log, ports?.adaptSettings);
+  const reload = new SettingsReloader(file, settings, log, selectAdapt(ports));
   process.on('SIGHUP', () => {
     void reload.run();
   });
@@ -86,3 +86,7 @@
   log.write('info', 'drain', 'drained');
   return 0;
 }
+
+function selectAdapt(ports: NodePorts | undefined): AdaptSettings {
+  return ports?.adaptSettings ?? ((settings) => Result.ok(settings));
+}
--- a/packages/node/src/connection/PeerLink.ts
+++ b/packages/node/src/connection/PeerLink.ts
@@ -40,10 +40,9 @@
   /** Receives each frame of the peer whose body is complete and stored. */
   readonly onFrame: (hello: Hello, frame: Frame) => void;
   /**
-   * Called once at the end. `hello` is undefined when the link never came up; no queued frame was sent then.
-   * `unfinished` is the value of `PeerLink.calls` at the end.
+   * Called once at the end. `hello` is undefined when the link never came up; the queued frames, `dropped`, were not sent
+   * then. `unfinished` is the value of `PeerLink.calls` at the end.
    */
-  /** Also gets the number of unfinished calls, and the frames that were dropped because the link never came up. */
   readonly onEnd: (
     end: LinkEndReason,
     hello: Hello | undefined,
--- a/packages/node/src/ports/NodePorts.ts
+++ b/packages/node/src/ports/NodePorts.ts
@@ -1,7 +1,6 @@
-import type { Result } from 'true-myth';
 import type { BackendAdapter } from './BackendAdapter.js';
 import type { EdgeAdapter } from './EdgeAdapter.js';
-import type { Settings, SettingsError } from '../process/settings/index.js';
+import type { AdaptSettings } from '../process/settings/index.js';
 import type { ConfigurationSource, ConfigurationSourceContext } from './ConfigurationSource.js';
 
 /** Adapters that connect a node to its environment; they differ between the native interface and a platform. */
@@ -13,5 +12,5 @@
    * Replaces settings by what the environment of the process tells, at the start and at each reload; an error when it tells
    * something that cannot be used. Absent if it tells nothing.
    */
-  readonly adaptSettings?: (settings: Settings) => Result<Settings, SettingsError>;
+  readonly adaptSettings?: AdaptSettings;
 }
--- a/packages/node/src/process/settings/SettingsReloader.ts
+++ b/packages/node/src/process/settings/SettingsReloader.ts
@@ -1,4 +1,4 @@
-import { Result } from 'true-myth';
+import type { Result } from 'true-myth';
 import type { ProcessLog } from '../log/index.js';
 import { listChangedKeys } from './listChangedKeys.js';
 import { loadSettings } from './loadSettings.js';
@@ -6,7 +6,7 @@
 import type { Settings } from './settingsSchema.js';
 
 /** Replaces settings by what the environment of the process tells. */
-type AdaptSettings = (settings: Settings) => Result<Settings, SettingsError>;
+export type AdaptSettings = (settings: Settings) => Result<Settings, SettingsError>;
 
 /** Keys that take effect on a reload; all others need a restart. */
 const RELOADABLE_KEYS: ReadonlySet<string> = new Set(['log.level']);
@@ -27,16 +27,11 @@
    * @param log - Log of the process; its level follows the file.
    * @param adapt - Replaces settings of the file by what the environment tells.
    */
-  constructor(
-    file: string,
-    settings: Settings,
-    log: ProcessLog,
-    adapt: AdaptSettings = Result.ok<Settings, SettingsError>,
-  ) {
-    this.#adapt = adapt;
+  constructor(file: string, settings: Settings, log: ProcessLog, adapt: AdaptSettings) {
     this.#file = file;
     this.#current = settings;
     this.#log = log;
+    this.#adapt = adapt;
   }
 
   /** Reloads the file and logs which keys changed and which of them need a restart. */
--- a/packages/node/src/request/RequestListener.ts
+++ b/packages/node/src/request/RequestListener.ts
@@ -17,6 +17,7 @@
 import { readBody } from './readBody.js';
 import type { ReadBodyResult } from './readBody.js';
 import { readTarget } from './readTarget.js';
+import type { RequestTarget } from './readTarget.js';
 import { renderAnswer, writeAnswer } from './writeAnswer.js';
 
 /** Limits of a listener; times in milliseconds, sizes in bytes. */
@@ -52,6 +53,7 @@
 interface CompleteRequest {
   readonly incoming: IncomingMessage;
   readonly outgoing: ServerResponse;
+  readonly target: RequestTarget;
   readonly arrivedMs: number;
   readonly body: Extract<ReadBodyResult, { kind: 'complete' }>;
 }
@@ -248,7 +250,8 @@
   async #handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     this.#unsentAnswers.add(outgoing);
     outgoing.once('close', () => this.#unsentAnswers.delete(outgoing));
-    if (!HOST_PATTERN.test(readTarget(incoming).host)) {
+    const target = readTarget(incoming);
+    if (!HOST_PATTERN.test(target.host)) {
       this.#refuseHost(outgoing);
       return;
     }
@@ -258,7 +261,7 @@
     const body = await readBody(incoming, { maxBody: limits.maxBody, store });
     if (body.kind === 'complete') {
       this.#waiting += 1;
-      this.#options.addWork(() => this.#takeTurn({ incoming, outgoing, arrivedMs, body }));
+      this.#options.addWork(() => this.#takeTurn({ incoming, outgoing, target, arrivedMs, body }));
     } else if (body.kind !== 'gone') {
       await this.#refuseUnread(incoming, outgoing, body.kind);
     }
@@ -288,18 +291,16 @@
     writeAnswer(outgoing, this.#options.adapter.buildRefusal(refusal, []), true);
   }
 
-  #announce({ incoming, outgoing, arrivedMs, body }: CompleteRequest): void {
+  #announce({ incoming, outgoing, target, arrivedMs, body }: CompleteRequest): void {
     const { store, buildRequestId, publish, part } = this.#options;
     const requestId = buildRequestId();
-    const { host, target } = readTarget(incoming);
-    const sent = parseRawHeaders(incoming.rawHeaders);
     const all = this.#options.adapter.readRequest(
-      sent.map((header) => (header[0] === 'host' ? ['host', host] : header)),
+      replaceHost(parseRawHeaders(incoming.rawHeaders), target),
     );
     const arrived = {
       requestId,
       method: incoming.method ?? '',
-      target,
+      target: target.path,
       headers: all,
       bodySize: body.bytes.length,
       bodyDigest: body.digest,
@@ -410,6 +411,16 @@
   }
 }
 
+/** Puts the host of a target in absolute form into the header; a repeated header stays repeated. */
+function replaceHost(
+  headers: readonly node.HeaderPair[],
+  { host, isAbsolute }: RequestTarget,
+): readonly node.HeaderPair[] {
+  return isAbsolute
+    ? headers.map((header) => (header[0] === 'host' ? ['host', host] : header))
+    : headers;
+}
+
 /** Returns whether the client has closed its connection or its sending side; Node.js then ends the connection. */
 function hasLeft({ socket }: IncomingMessage): boolean {
   return socket.destroyed || socket.readableEnded;
--- a/packages/node/src/request/readTarget.ts
+++ b/packages/node/src/request/readTarget.ts
@@ -3,23 +3,25 @@
 /** Absolute form of a request target: scheme, host with port, and the path with the query. */
 const ABSOLUTE_PATTERN = /^https?:\/\/([^/?#]*)([^#]*)$/i;
 
-/** Host and target of a request. */
+/** Host and path of a request. */
 export interface RequestTarget {
   readonly host: string;
   /** Path and query. */
-  readonly target: string;
+  readonly path: string;
+  /** Whether the target contained the host. */
+  readonly isAbsolute: boolean;
 }
 
 /**
- * Reads the host and the target of a request. A target in absolute form (RFC 9112, 3.2.2) contains its host, which takes
+ * Reads the host and the path of a request. A target in absolute form (RFC 9112, 3.2.2) contains its host, which takes
  * precedence over the `host` header; the path is returned as it was sent.
  * @param incoming - Request whose head has arrived.
  */
 export function readTarget({ url = '', headers }: IncomingMessage): RequestTarget {
-  const absolute = ABSOLUTE_PATTERN.exec(url);
+  const absolute = url.startsWith('/') ? null : ABSOLUTE_PATTERN.exec(url);
   if (absolute === null) {
-    return { host: headers.host ?? '', target: url };
+    return { host: headers.host ?? '', path: url, isAbsolute: false };
   }
   const [, host, rest] = absolute;
-  return { host, target: rest.startsWith('/') ? rest : `/${rest}` };
+  return { host, path: rest.startsWith('/') ? rest : `/${rest}`, isAbsolute: true };
 }
