Wait less for a complete list of VMs the more VMs are listed

Cause: since the own share is used when the list has not become longer for 1.6 s. The entries of 18 VMs return 0.09 s apart, so the wait showed nothing that a shorter one does not.

Ruled out: the leases of the earlier processes, which end 1 s after a start.

Change: 1.6 s with up to four listed VMs, less in proportion above, at least 0.8 s. A list that reaches a node through its peers may stay the same for 0.7 s although it grows. The new test of a large fleet failed before (first request granted after 1.7 s, now within 1 s). A second new test plays 20 random orders in which half of 18 nodes restart; it fails when there is no wait, and holds with 0.8 s.

--- a/packages/core/src/process/shares/FleetSize.ts
+++ b/packages/core/src/process/shares/FleetSize.ts
@@ -5,11 +5,17 @@
 const DEPARTURE_MS = 6_000;
 
 /**
- * Time without a new VM in the list after which it counts as complete, in milliseconds. After an outage of their source,
- * living VMs are listed again one by one, each within its interval of registration.
+ * Time without a new VM in a list of a few after which it counts as complete, in milliseconds. After an outage of their
+ * source, living VMs are listed again one by one, each within its interval of registration.
  */
 const LIST_SETTLE_MS = 1_600;
 
+/** Number of listed VMs above which that time is shorter in proportion: they follow each other sooner. */
+const FEW_VMS = 4;
+
+/** Minimum of that time, in milliseconds; peers may take that long to pass a new list on. */
+const MIN_LIST_SETTLE_MS = 800;
+
 /** A size of the list, and the time of the last list of that size or a larger one. */
 interface ListedSize {
   readonly size: number;
@@ -58,7 +64,11 @@
    * Computes the time from which the list counts as complete, in milliseconds; infinite while no VM is listed.
    */
   computeSettledMs(): number {
-    return this.#grownMs === undefined ? Number.POSITIVE_INFINITY : this.#grownMs + LIST_SETTLE_MS;
+    if (this.#grownMs === undefined) {
+      return Number.POSITIVE_INFINITY;
+    }
+    const settleMs = (LIST_SETTLE_MS * FEW_VMS) / Math.max(FEW_VMS, this.#current);
+    return this.#grownMs + Math.max(MIN_LIST_SETTLE_MS, settleMs);
   }
 
   /** The size of the last list holds until the next one. */
--- a/packages/core/test/process/shares/listedShares.test.ts
+++ b/packages/core/test/process/shares/listedShares.test.ts
@@ -2,6 +2,7 @@
 import * as membership from '../../../src/process/membership/index.js';
 import * as shares from '../../../src/process/shares/index.js';
 import { createBundle } from './createBundle.js';
+import { SeededRandom } from './SeededRandom.js';
 
 const LEASE_MS = 1_000;
 
@@ -10,6 +11,16 @@
 /** Nodes of the fleet, each in a failure domain of its own, so that no node leases the share of another. */
 const NODES = 8;
 
+/** Nodes of a larger fleet. */
+const MANY_NODES = 18;
+
+/** Time without a list after a restart, and time within which all nodes are then listed again, in milliseconds. */
+const UNLISTED_MS = 2_000;
+const RELISTED_MS = 1_500;
+
+/** Schedules of entries that return in a random order. */
+const SCHEDULES = 20;
+
 /** Time after which every node of the test has its share, in milliseconds. */
 const SETTLED_MS = 4_000;
 
@@ -19,6 +30,10 @@
 /** Requests a second of one workspace at each node, many times its share. */
 const SENT_PER_S = 40;
 
+/** Rate so high that the burst does not hide an excess of a few tenths, and requests a second at each node. */
+const HIGH_RATE = 200;
+const HIGH_SENT_PER_S = 200;
+
 /** A node with its own view of the list of VMs. */
 class ListedNode {
   readonly name: string;
@@ -29,10 +44,13 @@
 
   readonly grantedMs: number[] = [];
 
+  readonly #sentPerS: number;
+
   #requests = 0;
 
-  constructor(name: string, startedMs: number) {
+  constructor(name: string, startedMs: number, rate = RATE, sentPerS = SENT_PER_S) {
     this.name = name;
+    this.#sentPerS = sentPerS;
     const self = {
       name,
       service: 'desk',
@@ -46,7 +64,7 @@
       random: { next: () => 0.5 },
       startedMs,
     });
-    const rates = [{ name: 'ferry', rate: RATE, burst: BURST }];
+    const rates = [{ name: 'ferry', rate, burst: BURST }];
     this.#limiter.applyBundle(createBundle(rates, { shareLeaseMs: LEASE_MS }), startedMs);
   }
 
@@ -57,7 +75,7 @@
 
   /** Sends as many requests as are due in one tick. Peers do not answer, so only the own share grants them. */
   advance(nowMs: number): void {
-    const due = Math.floor((nowMs * SENT_PER_S) / 1_000);
+    const due = Math.floor((nowMs * this.#sentPerS) / 1_000);
     for (; this.#requests < due; this.#requests += 1) {
       if (this.#limiter.request('ferry', `${this.#requests}`, nowMs) === 'granted') {
         this.grantedMs.push(nowMs);
@@ -86,6 +104,28 @@
   return Array.from({ length: NODES }, (_none, at) => new ListedNode(`vm-${at}`, startedMs));
 }
 
+function createManyNodes(startedMs: number): readonly ListedNode[] {
+  return Array.from(
+    { length: MANY_NODES },
+    (_none, at) => new ListedNode(`vm-${at}`, startedMs, HIGH_RATE, HIGH_SENT_PER_S),
+  );
+}
+
+/** Lists the nodes again one by one, each at its own time in milliseconds, as the informed nodes see it. */
+function listWhenDue(
+  nodes: readonly ListedNode[],
+  informed: readonly ListedNode[],
+  dueMs: readonly number[],
+  nowMs: number,
+): void {
+  const isDue = dueMs.some((at) => at > nowMs - TICK_MS && at <= nowMs);
+  if (!isDue) {
+    return;
+  }
+  const names = nodes.filter((_node, at) => dueMs[at] <= nowMs).map(({ name }) => name);
+  informed.forEach((node) => node.list(names, nowMs));
+}
+
 /** Plays the nodes from one time to another; `change` is called before each tick. */
 function play(
   nodes: readonly ListedNode[],
@@ -100,11 +140,11 @@
 }
 
 /** Counts the most requests that were granted in a window, in excess of the rate and the burst; at least 0. */
-function measureExcess(nodes: readonly ListedNode[], windowMs: number): number {
+function measureExcess(nodes: readonly ListedNode[], windowMs: number, rate = RATE): number {
   const all = nodes.flatMap(({ grantedMs }) => grantedMs).sort((left, right) => left - right);
   const counts = all.map((fromMs) => all.filter((at) => at >= fromMs && at < fromMs + windowMs));
   const most = Math.max(0, ...counts.map(({ length }) => length));
-  return Math.max(0, most - ((RATE * windowMs) / 1_000 + BURST));
+  return Math.max(0, most - ((rate * windowMs) / 1_000 + BURST));
 }
 
 describe('shares of a fleet that divides its rates by the list of VMs', () => {
@@ -138,6 +178,36 @@
     expect(measureExcess(nodes, 5_000)).to.equal(0);
   });
 
+  it('guards against a rate that is exceeded while the entries of a large fleet return at random times', () => {
+    for (let seed = 1; seed <= SCHEDULES; seed += 1) {
+      const random = new SeededRandom(seed);
+      const running = createManyNodes(0);
+      const names = running.map(({ name }) => name);
+      running.forEach((node) => node.list(names, 0));
+      play(running, 0, SETTLED_MS);
+      // Half of the fleet restarts while no VM is listed, and is listed again before the others, which serve on.
+      const fromMs = SETTLED_MS;
+      const restarted = createManyNodes(fromMs).slice(0, MANY_NODES / 2);
+      const nodes = [...restarted, ...running.slice(MANY_NODES / 2)];
+      const delaysMs = nodes.map(() => random.next() * RELISTED_MS).sort((one, two) => one - two);
+      const dueMs = delaysMs.map((delayMs) => fromMs + UNLISTED_MS + delayMs);
+      play(nodes, fromMs, fromMs + 9_000, (nowMs) => listWhenDue(nodes, restarted, dueMs, nowMs));
+      const all = [...running, ...restarted];
+      expect(measureExcess(all, 5_000, HIGH_RATE), `seed ${seed}`).to.equal(0);
+    }
+  }).timeout(60_000);
+
+  it('guards against a large fleet whose rates stay unused for long after all of its VMs are listed again', () => {
+    const nodes = createManyNodes(0);
+    const names = nodes.map(({ name }) => name);
+    play(nodes, 0, SETTLED_MS);
+    nodes.forEach((node) => node.list(names, SETTLED_MS));
+    play(nodes, SETTLED_MS, SETTLED_MS + 2_000);
+    const granted = nodes.flatMap(({ grantedMs }) => grantedMs);
+    expect(Math.min(...granted)).to.be.below(SETTLED_MS + 1_000);
+    expect(granted.length).to.be.above(HIGH_RATE);
+  });
+
   it('guards against a part of the rate that stays unused after VMs are gone', () => {
     const nodes = createNodes(0);
     const names = nodes.map(({ name }) => name);
