Decode absent fields of bytes to empty buffers

What was seen: "exception in peerFrame" in the log of a node whose peer sends a manifest announcement without its manifest. The decision loop catches the exception; the announcement is lost and no caller is affected.

Cause: protobufjs returns an empty array for an absent field of bytes, where the generated types promise a Uint8Array; the digest throws on it. The test of the codec compared both as lists and did not see it.

Change: the prototypes of the decoded types have empty buffers.

--- a/packages/wire/src/createFrameTypes.ts
+++ b/packages/wire/src/createFrameTypes.ts
@@ -2,6 +2,8 @@
 import protobuf from 'protobufjs/light.js';
 import { file_link } from './generated/link_pb.js';
 
+const EMPTY_BYTES = Buffer.alloc(0);
+
 /** protobufjs types of the messages of the peer link. */
 export interface FrameTypes {
   readonly frame: protobuf.Type;
@@ -22,9 +24,23 @@
     ...Object.fromEntries(messages.map((one) => [one.name, describeMessage(one)])),
   });
   root.resolveAll();
+  types.nestedArray.forEach(setEmptyBytes);
   return { frame: types.lookupType('Frame'), batch: types.lookupType('Batch') };
 }
 
+/** Lets absent byte fields be read as empty buffers, as in the generated types; protobufjs returns an empty array. */
+function setEmptyBytes(type: protobuf.ReflectionObject): void {
+  if (!(type instanceof protobuf.Type)) {
+    return;
+  }
+  const prototype = type.ctor.prototype as Record<string, unknown>;
+  type.fieldsArray
+    .filter((field) => field.type === 'bytes' && !field.repeated)
+    .forEach((field) => {
+      prototype[field.name] = EMPTY_BYTES;
+    });
+}
+
 function describeEnum({ values }: DescEnum): protobuf.IEnum {
   return { values: Object.fromEntries(values.map(({ name, number }) => [name, number])) };
 }
--- a/packages/wire/test/frameCodec.test.ts
+++ b/packages/wire/test/frameCodec.test.ts
@@ -123,6 +123,14 @@
     expect(joinFrames([encodeFrame(frame)]).equals(whole)).to.equal(true);
   });
 
+  it('guards against an absent field of bytes that is decoded to an array, on which a digest throws', () => {
+    const bytes = encodeFrame(
+      create(FrameSchema, { body: { case: 'manifestAnnouncement', value: {} } }),
+    );
+    const [{ body }] = decodeBatch(joinFrames([bytes])).unwrapOr([]);
+    expect(body.case === 'manifestAnnouncement' && body.value.manifest).to.be.instanceOf(Buffer);
+  });
+
   it('guards against empty or oversized messages that are decoded, and frames of an unknown kind that make the batch fail', () => {
     const faults = [Buffer.alloc(0), Buffer.alloc(MAX_BATCH_BYTES + 1)].map((bytes) => {
       const decoded = decodeBatch(bytes);
