--- a/packages/core/test/process/shares/listedShares.test.ts
+++ b/packages/core/test/process/shares/listedShares.test.ts
@@ -18,7 +18,7 @@
 const UNLISTED_MS = 2_000;
 const RELISTED_MS = 1_500;
 
-/** Schedules of entries that return in a random order. */
+/** Schedules of entries that return at random times. */
 const SCHEDULES = 20;
 
 /** Time after which every node of the test has its share, in milliseconds. */
